--- /dev/null
+++ b/api/parse_test.go
@@ -0,0 +1,30 @@
+package api
+
+import (
+	"strings"
+	"testing"
+)
+
+const goodJob = `{"uid":"req-000412","strain":"train","crew":"vision","form":"group","rank":"high","spores":16,
+"cpus":8.0,"gpus":0,"ramGb":64.0,"seedcase":"img-07","pullGb":0,"stocks":["g8"],"patch":null,"oneZone":true,"scatter":false,
+"windfall":true,"growS":240.0,"moltS":0,"shedS":0,"ripeS":900.0,"unheard":[1,{}]}`
+
+func TestParseJob(t *testing.T) {
+	j, err := ParseJob([]byte(goodJob))
+	if err != nil || j.Tasks != 16 || j.Zone != nil || *j.DeadlineS != 900 {
+		t.Fatalf("%+v, %v", j, err)
+	}
+	for _, tc := range []struct{ old, new string }{
+		{goodJob, `[]`}, {goodJob, `null`}, {goodJob, `7`}, {goodJob, ``}, {goodJob, `{"uid":`},
+		{`"req-000412"`, `"job-1"`}, {`"req-000412"`, `"req-"`}, {`"req-000412"`, `7`},
+		{`"strain":"train",`, ``}, {`"strain":"train"`, `"strain":null`}, {`"form":"group"`, `"form":"other"`}, {`"rank":"high"`, `"rank":"top"`},
+		{`"spores":16`, `"spores":0`}, {`"spores":16`, `"spores":100001`}, {`"spores":16`, `"spores":1.5`}, {`"spores":16`, `"spores":"16"`},
+		{`"cpus":8.0`, `"cpus":0`}, {`"cpus":8.0`, `"cpus":-1`}, {`"cpus":8.0`, `"cpus":1e400`}, {`"gpus":0`, `"gpus":-0.5`},
+		{`"stocks":["g8"]`, `"stocks":"g8"`}, {`"oneZone":true`, `"oneZone":1`}, {`"growS":240.0`, `"growS":null`}, {`"ripeS":900.0`, `"ripeS":-3`},
+		{`"moltS":0,`, ``}, {`"patch":null`, `"patch":3`}, {goodJob, goodJob + `{}`},
+	} {
+		if _, err := ParseJob([]byte(strings.Replace(goodJob, tc.old, tc.new, 1))); err == nil {
+			t.Errorf("%.30s -> %.30s was taken", tc.old, tc.new)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `host_name = "c0"
+area = "a"
+bind = "127.0.0.1:8080"
+peer_listen = "127.0.0.1:8081"
+future = 7
+
+[[seeds]]
+host_name = "c1"
+area = "a"
+address = "127.0.0.2:8081"
+
+[endpoints]
+cloud = "127.0.0.9:1"
+state = "127.0.0.9:2"
+
+[settings]
+count = 2
+zones = ["a"]
+
+[[settings.teams]]
+name = "red"
+cpus = 1.0
+cpus_max = 2.0
+
+[settings.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 35.0
+
+[settings.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 16.0
+txn_ops = 32
+
+[settings.cloud]
+rps = 2.0
+list_lag_s = 5.0
+
+[settings.limits]
+core_share = 0.1
+ram_mb = 70.0
+fd_limit = 500
+`
+
+func TestPlatformFile(t *testing.T) {
+	if c, err := parse([]byte(good)); err != nil || c.Workers.Lease != 10*time.Second || c.StateLim.ValueBytes != 16384 || c.Peers[0].Host != "c1" {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	for _, tc := range []struct{ old, new, field string }{
+		{`host_name = "c0"`, ``, "host_name"},
+		{`bind = "127.0.0.1:8080"`, `bind = "nowhere"`, "bind"},
+		{`bind = "127.0.0.1:8080"`, `bind = 5`, "bind"},
+		{`lease_s = 10.0`, `lease_s = -1.0`, "settings.workers.lease_s"},
+		{`lease_s = 10.0`, `lease_s = "ten"`, "settings.workers.lease_s"},
+		{`cancel_s = 35.0`, `cancel_s = 5.0`, "settings.workers.cancel_s"},
+		{`cpus_max = 2.0`, ``, "settings.teams[0].cpus_max"},
+		{`rps = 100.0`, `rps = nan`, "settings.state.rps"},
+		{`count = 2`, `count = 0`, "settings.count"},
+		{`state = "127.0.0.9:2"`, ``, "endpoints.state"},
+		{`[settings]`, `[settings`, "line"},
+	} {
+		_, err := parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), tc.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s -> %s: got %v, want one line that names %s", tc.old, tc.new, err, tc.field)
+		}
+	}
+}
+
+func TestOperatorSettings(t *testing.T) {
+	o, err := parseOperator(nil, 3)
+	if err != nil || o.Blocks != 3 || o.Tenure != 5*time.Second {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	if o, err = parseOperator([]byte("tenure_s: 8 # longer\nblocks: 1"), 3); err != nil || o.Blocks != 1 || o.Tenure != 8*time.Second {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	for text, want := range map[string]string{
+		"tenure_s: 0":          "line 1:1: tenure_s",
+		"memory_share: 3":      "memory_share",
+		"blocks: 1\nidel_s: 3": "line 2:1",
+		"retry_after_s: x":     "retry_after_s",
+	} {
+		if _, err := parseOperator([]byte(text), 3); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %s", text, err, want)
+		}
+	}
+}
+
+func TestLoadMissing(t *testing.T) {
+	if _, err := Load(filepath.Join(t.TempDir(), "none.toml"), ""); err == nil || !strings.Contains(err.Error(), "--config") {
+		t.Errorf("got %v", err)
+	}
+	path := filepath.Join(t.TempDir(), "good.toml")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path, "nowhere"); err == nil || !strings.Contains(err.Error(), "--settings") {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lichenstair/internal/core"
+)
+
+func machineOf(id string, cpus, mem float64) *Machine {
+	return &Machine{ID: core.MachineID(id), Type: "t", Zone: "a", Total: Need{CPUs: cpus, MemoryGB: mem}, Images: map[string]bool{}}
+}
+
+// The score is worked out by hand: 4 of 8 CPUs and 8 of 32 GB give fractions
+// 0.5 and 0.25, so (0.5/0.375 - 1) * (1 - 0.375).
+func TestScore(t *testing.T) {
+	s, mean := Score(machineOf("m", 8, 32), Need{CPUs: 4, MemoryGB: 8})
+	if math.Abs(s-(0.5/0.375-1)*0.625) > 1e-12 || math.Abs(mean-0.375) > 1e-12 {
+		t.Fatal(s, mean)
+	}
+}
+
+// The head job reserves the machine that is freed soonest; a later job may use
+// it only if it ends in time, or if the head still fits beside it.
+func TestReservation(t *testing.T) {
+	teams := map[string]*Team{"red": {Max: Need{CPUs: 1000}}}
+	m := machineOf("m", 8, 64)
+	m.Booked = Need{CPUs: 4, MemoryGB: 4}
+	m.Releases = []Release{{core.Time(20 * time.Second), Need{CPUs: 4, MemoryGB: 4}}}
+	head := &Job{ID: "head", Team: "red", At: 1, Need: Need{CPUs: 7, MemoryGB: 4}, Tasks: 1, Waiting: 1, Estimate: time.Minute}
+	long := &Job{ID: "long", Team: "red", At: 2, Need: Need{CPUs: 2, MemoryGB: 1}, Tasks: 1, Waiting: 1, Estimate: time.Minute}
+	short := &Job{ID: "short", Team: "red", At: 3, Need: Need{CPUs: 2, MemoryGB: 1}, Tasks: 1, Waiting: 1, Estimate: 10 * time.Second}
+	beside := &Job{ID: "beside", Team: "red", At: 4, Need: Need{CPUs: 1, MemoryGB: 1}, Tasks: 1, Waiting: 1, Estimate: time.Minute}
+	r := Pass(0, []*Machine{m}, []*Job{short, beside, long, head}, teams, Policy{})
+	if r.Reserved != "head" || r.ReservedAt != core.Time(20*time.Second) {
+		t.Fatalf("%+v", r)
+	}
+	got := fmt.Sprint(r.Starts)
+	if len(r.Starts) != 2 || long.Waiting != 1 || short.Waiting != 0 || beside.Waiting != 0 {
+		t.Fatal(got)
+	}
+}
+
+// Random passes: nothing is overbooked, no rule about places is broken, gangs
+// start whole, and the cached choice of backfill is as good as a full search.
+func TestPassKeepsTheRules(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		var machines []*Machine
+		for i := range 1 + r.IntN(10) {
+			m := machineOf(fmt.Sprint("m", i), float64(4+r.IntN(30)), float64(16+r.IntN(100)))
+			m.Zone, m.Spot, m.Type = []string{"a", "b"}[r.IntN(2)], r.IntN(3) == 0, []string{"t", "u"}[r.IntN(2)]
+			machines = append(machines, m)
+		}
+		teams := map[string]*Team{"red": {Max: Need{CPUs: 40}}, "blue": {Max: Need{CPUs: 15}}}
+		byID := map[core.JobID]*Job{}
+		var jobs []*Job
+		for i := range 1 + r.IntN(12) {
+			n := 1 + r.IntN(8)
+			j := &Job{
+				ID: core.JobID(fmt.Sprint("j", i)), Team: []string{"red", "blue"}[r.IntN(2)], Rank: r.IntN(3), At: core.Wall(r.IntN(100)),
+				Need: Need{CPUs: 0.5 + 4*r.Float64(), MemoryGB: 10 * r.Float64()}, Gang: r.IntN(3) == 0, Tasks: n, Waiting: n, Spot: r.IntN(2) == 0,
+				OneZone: r.IntN(4) == 0, Estimate: time.Duration(r.IntN(100)) * time.Second,
+			}
+			j.Scatter = !j.OneZone && r.IntN(4) == 0
+			if r.IntN(4) == 0 {
+				j.Types = []string{"t"}
+			}
+			jobs, byID[j.ID] = append(jobs, j), j
+		}
+		res := Pass(0, machines, jobs, teams, Policy{})
+		count := map[core.JobID]int{}
+		at := map[core.MachineID]*Machine{}
+		for _, m := range machines {
+			at[m.ID] = m
+			if !m.Booked.Fits(m.Total) {
+				t.Fatalf("seed %d: %s is overbooked", seed, m.ID)
+			}
+		}
+		zones := map[core.JobID]map[string]int{}
+		for _, s := range res.Starts {
+			j, m := byID[s.Job], at[s.Machine]
+			count[j.ID]++
+			if zones[j.ID] == nil {
+				zones[j.ID] = map[string]int{}
+			}
+			zones[j.ID][m.Zone]++
+			if !j.Allows(m.Type, m.Zone, m.Spot) {
+				t.Fatalf("seed %d: %s on %s", seed, j.ID, m.ID)
+			}
+		}
+		for id, n := range count {
+			j := byID[id]
+			if j.Gang && n != j.Tasks {
+				t.Fatalf("seed %d: gang %s started in part", seed, id)
+			}
+			if j.OneZone && len(zones[id]) > 1 {
+				t.Fatalf("seed %d: %s in two zones", seed, id)
+			}
+			for z, k := range zones[id] {
+				if j.Scatter && k > (j.Tasks+1)/2 {
+					t.Fatalf("seed %d: %s has %d tasks in %s", seed, id, k, z)
+				}
+			}
+		}
+		for name, team := range teams {
+			if team.Used.CPUs > team.Max.CPUs+1e-6 {
+				t.Fatalf("seed %d: team %s uses %g", seed, name, team.Used.CPUs)
+			}
+		}
+		if res.Reserved == "" {
+			for _, j := range jobs {
+				for _, m := range machines {
+					u := teams[j.Team]
+					if !j.Gang && j.Waiting > 0 && j.Need.Fits(m.Free()) && j.Allows(m.Type, m.Zone, m.Spot) && j.zoneAllows(m.Zone, j.Zones) && u.Used.CPUs+j.Need.CPUs <= u.Max.CPUs {
+						t.Fatalf("seed %d: %s waits though %s has room", seed, j.ID, m.ID)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -79,6 +79,7 @@
 func TestEachFault(t *testing.T) {
 	for _, name := range faultNames() {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range seeds(3) {
 				w := play(t, 100+seed, []string{name}, 240*time.Second)
 				if w.Users.Done == 0 {
@@ -93,6 +94,7 @@
 func TestMixedFaults(t *testing.T) {
 	for seed := range seeds(25) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			w := play(t, 1000+seed, faultNames(), 300*time.Second)
 			if w.Users.Done == 0 {
 				t.Fatal("nothing was done")
