--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -45,11 +45,14 @@
 	list    map[core.MachineID]api.ListedMachine
 	closed  map[capacity.Offer]core.Time
 	free    map[core.MachineID]core.Time
-	sending map[core.MachineID]bool // returns in flight
-	done    map[core.MachineID]bool // returns answered 200, not yet written
-	rented  []state.Machine         // rented, not yet written
-	rentals int                     // in flight
-	stable  map[core.Host]core.Time
+	sending map[core.MachineID]bool // to be returned, not yet confirmed
+	due     []string                // of these, not yet asked for
+	// returning: a request to return machines is on its way or about to be.
+	returning bool
+	done      map[core.MachineID]bool // returns answered 200, not yet written
+	rented    []state.Machine         // rented, not yet written
+	rentals   int                     // in flight
+	stable    map[core.Host]core.Time
 }
 
 // New starts to lead under the record that the mirror shows.
@@ -559,35 +562,42 @@
 	}
 }
 
+// sendBack returns a machine to the cloud, with others that are due.
 func (l *Leader) sendBack(id core.MachineID) {
-	if l.sending[id] || l.done[id] || len(l.sending) >= maxReturns {
+	if l.sending[id] || l.done[id] || len(l.due) >= maxReturns {
 		return
 	}
 	l.sending[id] = true
-	if len(l.sending) > 1 {
-		return // goes with the batch
+	l.due = append(l.due, string(id))
+	if !l.returning {
+		l.returning = true
+		l.Loop.After(200*time.Millisecond, l.returnDue)
 	}
-	l.Loop.After(200*time.Millisecond, func() {
-		var names []string
-		for id := range l.sending {
-			names = append(names, string(id))
+}
+
+// returnDue sends what is due in one request. What becomes due while that is
+// on its way must not wait for ever: it goes with the next one.
+func (l *Leader) returnDue() {
+	names := l.due
+	l.due = nil
+	if l.ended || len(names) == 0 {
+		l.returning = false
+		return
+	}
+	sort.Strings(names)
+	l.Cloud.Return(names, func(ok bool) {
+		for _, id := range names {
+			delete(l.sending, core.MachineID(id))
+			if ok {
+				l.done[core.MachineID(id)] = true
+			}
 		}
-		sort.Strings(names)
-		if l.ended {
-			return
+		pause := 200 * time.Millisecond
+		if !ok {
+			pause = time.Second
 		}
-		l.Cloud.Return(names, func(ok bool) {
-			for _, id := range names {
-				delete(l.sending, core.MachineID(id))
-				if ok {
-					l.done[core.MachineID(id)] = true
-				}
-			}
-			if !ok {
-				l.again = l.Loop.Now().Add(time.Second)
-			}
-			l.act()
-		})
+		l.Loop.After(pause, l.returnDue)
+		l.act()
 	})
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -69,6 +69,12 @@
 				over++
 			}
 		}
+		// Machines that nobody needs are given back, also those that become
+		// due while another return is on its way.
+		w.Run(w.Now() + 120*time.Second)
+		if n := len(w.Cloud.Up()); n > 0 {
+			t.Fatalf("seed %d: %d machines are kept with nothing to do", seed, n)
+		}
 		if over < w.Users.Accepted*9/10 {
 			t.Fatalf("seed %d: of %d jobs only %d are over", seed, w.Users.Accepted, over)
 		}
