--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -81,7 +81,7 @@
 	h.Log = env.Log.With("block", rec.Number)
 	h.Log.Info("block granted to us", "term", rec.Term, "machines", len(rec.Machines), "teams", rec.Teams)
 	h.follow(rec)
-	for id := range h.Mirror.Jobs {
+	for _, id := range core.Keys(h.Mirror.Jobs) {
 		h.followJob(id)
 	}
 	h.become(recovering)
@@ -174,7 +174,8 @@
 		}
 		m.up, m.asked, m.lost = r.Up, r.Asked, r.Lost
 	}
-	for id, m := range h.machines {
+	for _, id := range core.Keys(h.machines) {
+		m := h.machines[id]
 		if !listed[id] {
 			if !m.empty() {
 				h.Log.Error("a machine left the block while something was booked on it", "machine", id)
@@ -195,7 +196,7 @@
 
 // clearMachine takes everything off a machine of which that has been proven.
 func (h *Holder) clearMachine(m *machine, why string) {
-	for _, s := range m.slots {
+	for _, s := range m.list() {
 		h.setOff(s, why)
 	}
 }
@@ -208,8 +209,8 @@
 	j := h.jobs[id]
 	if e.Over() {
 		if j != nil {
-			for _, s := range j.slots {
-				if s.state == planned {
+			for _, i := range core.Keys(j.slots) {
+				if s := j.slots[i]; s.state == planned {
 					h.setOff(s, "job over")
 				}
 			}
@@ -227,8 +228,8 @@
 			rank: rankOf(e.Spec.Rank), slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{},
 		}
 		h.jobs[id] = j
-		for _, m := range h.machines {
-			for _, s := range m.slots {
+		for _, mid := range core.Keys(h.machines) {
+			for _, s := range h.machines[mid].list() {
 				if s.task.Job == id && s.booked() {
 					j.slots[s.task.Index] = s
 				}
@@ -291,8 +292,8 @@
 		return
 	}
 	j.broken = true
-	for _, s := range j.slots {
-		if s.state == planned {
+	for _, i := range core.Keys(j.slots) {
+		if s := j.slots[i]; s.state == planned {
 			delete(s.machine.slots, s.slotKey)
 			h.moveSlot(s, off)
 			delete(j.slots, s.task.Index)
@@ -308,8 +309,8 @@
 
 // checkGangs breaks gangs of which recovery found only a part.
 func (h *Holder) checkGangs() {
-	for _, j := range h.jobs {
-		if j.gang() && len(j.slots) > 0 && j.waiting() > 0 {
+	for _, id := range core.Keys(h.jobs) {
+		if j := h.jobs[id]; j.gang() && len(j.slots) > 0 && j.waiting() > 0 {
 			h.breakGang(j)
 		}
 	}
@@ -354,17 +355,7 @@
 func (h *Holder) orders(m *machine, rep *api.Report) []api.Order {
 	now := h.Loop.Now()
 	var kills, clears, runs []api.Order
-	keys := make([]*slot, 0, len(m.slots))
-	for _, s := range m.slots {
-		keys = append(keys, s)
-	}
-	sort.Slice(keys, func(a, b int) bool {
-		if keys[a].task.Job != keys[b].task.Job {
-			return keys[a].task.Job < keys[b].task.Job
-		}
-		return keys[a].task.Index < keys[b].task.Index
-	})
-	for _, s := range keys {
+	for _, s := range m.list() {
 		order := api.Order{Task: s.task.String(), Attempt: uint64(s.attempt)}
 		e := h.Mirror.Jobs[s.task.Job]
 		unwanted := e == nil || e.Over() || h.jobs[s.task.Job] == nil || h.jobs[s.task.Job].slots[s.task.Index] != s
@@ -430,7 +421,7 @@
 	if season > m.season {
 		// The worker has killed and forgotten everything of earlier seasons,
 		// and drops answers to reports of those.
-		for _, s := range m.slots {
+		for _, s := range m.list() {
 			if s.state != planned {
 				h.setOff(s, "worker's lease ran out")
 			}
@@ -456,8 +447,8 @@
 		seen[k] = true
 		h.see(m, k, v)
 	}
-	for k, s := range m.slots {
-		if seen[k] || s.state == planned {
+	for _, s := range m.list() {
+		if seen[s.slotKey] || s.state == planned {
 			continue
 		}
 		if s.state == starting {
@@ -634,7 +625,8 @@
 	now := h.Loop.Now()
 	w := h.Config.Workers
 	quiet := max(3*w.Report, 2*time.Second)
-	for _, m := range h.machines {
+	for _, id := range core.Keys(h.machines) {
+		m := h.machines[id]
 		if !m.fenced && m.up && m.state != lapsed {
 			h.fence(m)
 		}
@@ -666,7 +658,7 @@
 
 // unplan drops plans for a machine that does not fetch them.
 func (h *Holder) unplan(m *machine) {
-	for _, s := range m.slots {
+	for _, s := range m.list() {
 		if s.state == planned {
 			h.setOff(s, "")
 		}
@@ -689,11 +681,12 @@
 		teams[t.Name] = &placement.Team{Max: placement.Need{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
 	var machines []*placement.Machine
-	for _, m := range h.machines {
+	for _, id := range core.Keys(h.machines) {
+		m := h.machines[id]
 		if t, ok := types[m.typ]; ok {
 			m.total = placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 		}
-		for _, s := range m.slots {
+		for _, s := range m.list() {
 			if s.booked() && teams[s.team] != nil {
 				teams[s.team].Used = teams[s.team].Used.Plus(s.need)
 			}
@@ -709,7 +702,6 @@
 		}
 		machines = append(machines, p)
 	}
-	sort.Slice(machines, func(a, b int) bool { return machines[a].ID < machines[b].ID })
 	jobs := h.candidates(now)
 	res := placement.Pass(now, machines, jobs, teams, h.Policy)
 	for _, st := range res.Starts {
@@ -959,13 +951,8 @@
 	room := min(h.Config.StateLim.TxnOps, 24) - len(t.Then)
 	size := 0
 	round := state.Round{Done: map[core.JobID]core.Set{}}
-	ids := make([]core.JobID, 0, len(h.jobs))
-	for id := range h.jobs {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
 	limit := h.Config.StateLim.ValueBytes - 256
-	for _, id := range ids {
+	for _, id := range core.Keys(h.jobs) {
 		j, e := h.jobs[id], h.Mirror.Jobs[id]
 		if e == nil || e.Over() || j.pending.Empty() && j.done.Len() < j.spec.Tasks {
 			continue
@@ -1006,15 +993,10 @@
 	if len(rounds) < 8 || room < 4 {
 		return
 	}
-	keys := make([]string, 0, len(rounds))
-	for k := range rounds {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
 	removed := 0
 	merged := state.Round{Done: map[core.JobID]core.Set{}}
 	size := 0
-	for _, k := range keys {
+	for _, k := range core.Keys(rounds) {
 		if removed >= min(room-1, 12) {
 			break
 		}
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -1,6 +1,8 @@
 package block
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -110,6 +112,18 @@
 	return n
 }
 
+// list returns the machine's slots in the order of their tasks.
+func (m *machine) list() []*slot {
+	out := make([]*slot, 0, len(m.slots))
+	for _, s := range m.slots {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *slot) int {
+		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index), cmp.Compare(a.attempt, b.attempt))
+	})
+	return out
+}
+
 func (m *machine) empty() bool {
 	for _, s := range m.slots {
 		if s.state != off {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -118,6 +118,10 @@
 			continue
 		}
 		p.team[j.Team] += float64(n) * j.Need.CPUs
+		j.Zones = map[string]int{}
+		if j.OneZone && j.Zone == "" {
+			j.Zone = p.zone(j, n)
+		}
 		n -= p.claim(j, n, func(r *room) bool { return r.block == j.Block })
 		if n > 0 && j.Gang {
 			n -= p.claim(j, n, func(r *room) bool { return r.block == NoBlock })
@@ -154,6 +158,9 @@
 func (p *planner) wants(j *Job) int {
 	n := j.Remaining
 	if j.Gang {
+		if j.Scatter && j.Tasks > 1 && p.zones(j) < 2 {
+			return 0 // no machine makes it fit
+		}
 		if p.team[j.Team]+float64(n)*j.Need.CPUs > p.in.TeamMax[j.Team]+1e-6 {
 			return 0
 		}
@@ -169,6 +176,45 @@
 	return min(n, int((p.in.TeamMax[j.Team]-p.team[j.Team]+1e-6)/j.Need.CPUs))
 }
 
+// zones counts the zones in which a job's tasks could be.
+func (p *planner) zones(j *Job) int {
+	in := map[string]bool{}
+	for name, t := range p.in.Types {
+		for _, z := range t.Zones {
+			if j.Allows(name, z, false) && j.Need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) {
+				in[z] = true
+			}
+		}
+	}
+	return len(in)
+}
+
+// zone chooses where all tasks of a job should be: where the machines of its
+// block take most of them, then where most could be had.
+func (p *planner) zone(j *Job, n int) (best string) {
+	type count struct{ own, all int }
+	counts := map[string]count{}
+	for _, r := range p.rooms {
+		if !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) || r.block != j.Block && r.used {
+			continue
+		}
+		k := counts[r.m.Zone]
+		for left := r.free; k.all < n && j.Need.Fits(left); left = left.Minus(j.Need) {
+			k.all++
+			if r.block == j.Block {
+				k.own++
+			}
+		}
+		counts[r.m.Zone] = k
+	}
+	for _, z := range core.Keys(counts) {
+		if k, top := counts[z], counts[best]; best == "" || k.own > top.own || k.own == top.own && k.all > top.all {
+			best = z
+		}
+	}
+	return best
+}
+
 // claim takes room for up to n tasks on machines that suit, and tells how many.
 func (p *planner) claim(j *Job, n int, suits func(*room) bool) int {
 	got := 0
@@ -179,7 +225,8 @@
 		if !suits(r) || !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
 			continue
 		}
-		for got < n && j.Need.Fits(r.free) {
+		for got < n && j.Need.Fits(r.free) && j.ZoneAllows(r.m.Zone, j.Zones) {
+			j.Zones[r.m.Zone]++
 			r.free = r.free.Minus(j.Need)
 			r.used, r.block = true, j.Block
 			got++
@@ -196,7 +243,8 @@
 		cost float64
 	}
 	var best *choice
-	for name, t := range p.in.Types {
+	for _, name := range core.Keys(p.in.Types) {
+		t := p.in.Types[name]
 		total := placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 		fit := 0
 		for left := total; fit < n && j.Need.Fits(left); fit++ {
@@ -208,7 +256,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				o := Offer{name, zone, spot}
-				if p.in.Closed[o] || !j.Allows(name, zone, spot) {
+				if p.in.Closed[o] || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
 					continue
 				}
 				price := t.Price
@@ -227,6 +275,9 @@
 	}
 	t := p.in.Types[best.o.Type]
 	count := min((n+best.fit-1)/best.fit, 10)
+	if j.Scatter {
+		count = min(count, (j.Tasks+1)/2)
+	}
 	for i := range count {
 		r := &room{
 			m:    &Machine{ID: core.MachineID("rented" + string(rune('0'+i))), Type: best.o.Type, Zone: best.o.Zone, Spot: best.o.Spot, Block: j.Block},
@@ -234,7 +285,12 @@
 		}
 		p.rooms = append(p.rooms, r)
 	}
-	p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+	left := n - p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+	defer func() {
+		if j.Scatter && left > 0 && left < n {
+			p.rent(j, left) // the rest has to go to another zone
+		}
+	}()
 	for i := range p.plan.Rent {
 		if p.plan.Rent[i].Offer == best.o && p.plan.Rent[i].Block == j.Block {
 			p.plan.Rent[i].Count += count
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,68 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+)
+
+func types() map[string]api.MachineType {
+	return map[string]api.MachineType{
+		"small": {Name: "small", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.3, Zones: []string{"a", "b"}},
+		"large": {Name: "large", CPUs: 32, MemoryGB: 256, Price: 5, SpotPrice: 2, Zones: []string{"a"}},
+	}
+}
+
+func gangOf(id string, tasks int, cpus float64) *Job {
+	j := &Job{Remaining: tasks}
+	j.ID, j.Team, j.Gang, j.Tasks, j.Need = core.JobID(id), "red", true, tasks, placement.Need{CPUs: cpus, MemoryGB: 1}
+	j.Estimate = time.Minute
+	return j
+}
+
+func plan(jobs []*Job, machines []*Machine) Plan {
+	return Make(Input{Jobs: jobs, Machines: machines, Types: types(), TeamMax: map[string]float64{"red": 100}, Idle: time.Minute})
+}
+
+// A gang whose tasks may not all be in one zone needs machines in two: renting
+// for it in one zone only left it waiting for ever.
+func TestScatteredGangRentsInTwoZones(t *testing.T) {
+	j := gangOf("req-1", 3, 8)
+	j.Scatter = true
+	zones := map[string]int{}
+	for _, r := range plan([]*Job{j}, nil).Rent {
+		zones[r.Zone] += r.Count
+	}
+	if zones["a"] == 0 || zones["b"] == 0 || zones["a"]+zones["b"] != 3 {
+		t.Fatal(zones)
+	}
+}
+
+// A gang that must stay in one zone must not be counted as fitting on machines
+// of two.
+func TestOneZoneGangRentsInItsZone(t *testing.T) {
+	j := gangOf("req-1", 3, 8)
+	j.OneZone = true
+	p := plan([]*Job{j}, []*Machine{{ID: "n-1", Type: "small", Zone: "b"}, {ID: "n-2", Type: "small", Zone: "a"}, {ID: "n-3", Type: "small", Zone: "b"}})
+	if len(p.Rent) != 1 || p.Rent[0].Zone != "b" || p.Rent[0].Count != 1 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+// The oldest gang that needs a rare machine gets it, also from another block;
+// what nobody claims is returned after a while, and not before.
+func TestMovesAndReturns(t *testing.T) {
+	j := gangOf("req-1", 1, 30)
+	j.Block = 1
+	p := plan([]*Job{j}, []*Machine{{ID: "n-1", Type: "large", Zone: "a", Block: 0}, {ID: "n-2", Type: "small", Zone: "a", Block: NoBlock, Free: time.Hour}, {ID: "n-3", Type: "small", Zone: "a", Block: NoBlock}})
+	if len(p.Ask) != 1 || p.Ask[0] != "n-1" || len(p.Rent) != 0 || len(p.Return) != 1 || p.Return[0] != "n-2" {
+		t.Fatalf("%+v", p)
+	}
+	p = plan([]*Job{j}, []*Machine{{ID: "n-1", Type: "large", Zone: "a", Block: NoBlock}})
+	if p.Assign["n-1"] != 1 || len(p.Assign) != 1 {
+		t.Fatalf("%+v", p)
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -399,7 +399,7 @@
 		}
 	}
 	// Returns that the cloud has confirmed.
-	for id := range l.done {
+	for _, id := range core.Keys(l.done) {
 		i := pool.Find(id)
 		_, held := inBlock[id]
 		switch {
@@ -438,13 +438,8 @@
 	}
 	l.rented = still
 	plan := l.plan(pool, now, wall)
-	ids := make([]core.MachineID, 0, len(plan.Assign))
-	for id := range plan.Assign {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
 	raise := map[int]bool{}
-	for _, id := range ids {
+	for _, id := range core.Keys(plan.Assign) {
 		n := plan.Assign[id]
 		i := pool.Find(id)
 		if i < 0 || l.Mirror.Blocks[n].Record == nil {
@@ -481,12 +476,12 @@
 	if len(raise) > 0 {
 		first := l.draw(t, len(raise))
 		k := core.Term(0)
-		for _, n := range sortedKeys(raise) {
+		for _, n := range core.Keys(raise) {
 			out[n].Term = first + k
 			k++
 		}
 	}
-	for _, n := range sortedKeys(out) {
+	for _, n := range core.Keys(out) {
 		l.setBlock(t, out[n])
 	}
 	if poolChanged {
@@ -496,23 +491,9 @@
 	l.rent(plan.Rent)
 }
 
-func sortedKeys[V any](m map[int]V) []int {
-	out := make([]int, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Ints(out)
-	return out
-}
-
 // lookAtList adopts machines that nobody knows of, and gives back failed ones.
 func (l *Leader) lookAtList(pool *state.Pool, inBlock map[core.MachineID]int, changed *bool) {
-	ids := make([]core.MachineID, 0, len(l.list))
-	for id := range l.list {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
-	for _, id := range ids {
+	for _, id := range core.Keys(l.list) {
 		m := l.list[id]
 		_, held := inBlock[id]
 		i := pool.Find(id)
@@ -551,8 +532,8 @@
 			l.sendBack(m.ID)
 		}
 	}
-	for _, b := range l.Mirror.Blocks {
-		for _, m := range b.Record.Machines {
+	for _, n := range core.Keys(l.Mirror.Blocks) {
+		for _, m := range l.Mirror.Blocks[n].Record.Machines {
 			if m.Lost {
 				if i := l.Mirror.Pool.Record.Find(m.ID); i < 0 || l.Mirror.Pool.Record.Machines[i].Fate != state.Gone {
 					l.sendBack(m.ID)
@@ -641,7 +622,7 @@
 			delete(l.free, id)
 		}
 	}
-	for _, n := range sortedKeys(l.Mirror.Blocks) {
+	for _, n := range core.Keys(l.Mirror.Blocks) {
 		for _, m := range l.Mirror.Blocks[n].Record.Machines {
 			if i := pool.Find(m.ID); m.Lost || i >= 0 && pool.Machines[i].Fate != state.Free {
 				continue
@@ -661,6 +642,7 @@
 		j := &capacity.Job{Block: n, Remaining: e.Tasks - e.Done.Len()}
 		j.ID, j.Team, j.At, j.Need = id, e.Team, e.At, placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB}
 		j.Gang, j.Tasks, j.Types, j.Spot = e.Spec.Form == api.FormGang, e.Tasks, e.Spec.Types, e.Spec.Spot
+		j.OneZone, j.Scatter = e.Spec.OneZone, e.Spec.Scatter
 		j.Estimate = core.Seconds(e.Spec.EstimateS)
 		j.Rank = rank(e.Spec.Rank)
 		if e.Spec.Zone != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,8 +100,8 @@
 	if n.leader != nil {
 		n.leader.Tick()
 	}
-	for _, h := range n.holders {
-		h.Tick()
+	for _, num := range core.Keys(n.holders) {
+		n.holders[num].Tick()
 	}
 }
 
@@ -216,8 +216,8 @@
 		return
 	}
 	n.follow()
-	for _, h := range n.holders {
-		h.Changed(t)
+	for _, num := range core.Keys(n.holders) {
+		n.holders[num].Changed(t)
 	}
 	if n.leader != nil {
 		n.leader.Tick()
@@ -237,14 +237,16 @@
 			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud,
 		}, l)
 	}
-	for num, h := range n.holders {
+	for _, num := range core.Keys(n.holders) {
+		h := n.holders[num]
 		b, ok := n.mirror.Blocks[num]
 		if !ok || b.Record.Granted != h.Granted() || b.Record.Holder != n.cfg.Host {
 			h.Release()
 			delete(n.holders, num)
 		}
 	}
-	for num, b := range n.mirror.Blocks {
+	for _, num := range core.Keys(n.mirror.Blocks) {
+		b := n.mirror.Blocks[num]
 		if n.holders[num] == nil && n.tenure != 0 && b.Record.Holder == n.cfg.Host && b.Record.Tenure == n.tenure {
 			n.holders[num] = block.New(block.Env{
 				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -220,8 +220,8 @@
 	return false
 }
 
-// zoneAllows tells whether one more task may go to a zone.
-func (j *Job) zoneAllows(zone string, zones map[string]int) bool {
+// ZoneAllows tells whether one more task may go to a zone.
+func (j *Job) ZoneAllows(zone string, zones map[string]int) bool {
 	if j.OneZone {
 		for z, n := range zones {
 			if n > 0 && z != zone {
@@ -314,7 +314,7 @@
 	var pick *Machine
 	var top rating
 	for _, m := range p.machines {
-		if !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.zoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
+		if !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.ZoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
 			continue
 		}
 		if p.policy.FirstFit {
@@ -378,7 +378,7 @@
 	}
 	var picks []*Machine
 	for i := range rooms {
-		for len(picks) < j.Waiting && j.Need.Fits(rooms[i].left) && j.zoneAllows(rooms[i].m.Zone, zones) {
+		for len(picks) < j.Waiting && j.Need.Fits(rooms[i].left) && j.ZoneAllows(rooms[i].m.Zone, zones) {
 			rooms[i].left = rooms[i].left.Minus(j.Need)
 			zones[rooms[i].m.Zone]++
 			picks = append(picks, rooms[i].m)
@@ -470,7 +470,7 @@
 			if i == at || options[i].m == m || jobs[i].Team == jobs[at].Team {
 				stale[i] = true
 			} else if options[i].m != nil && jobs[i].Need.Fits(p.beside(jobs[i])(m)) &&
-				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].zoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] {
+				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].ZoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] {
 				if r := rate(jobs[i], m); r.better(options[i].r) {
 					options[i] = option{m, r}
 				}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -115,7 +115,7 @@
 			for _, j := range jobs {
 				for _, m := range machines {
 					u := teams[j.Team]
-					if !j.Gang && j.Waiting > 0 && j.Need.Fits(m.Free()) && j.Allows(m.Type, m.Zone, m.Spot) && j.zoneAllows(m.Zone, j.Zones) && u.Used.CPUs+j.Need.CPUs <= u.Max.CPUs {
+					if !j.Gang && j.Waiting > 0 && j.Need.Fits(m.Free()) && j.Allows(m.Type, m.Zone, m.Spot) && j.ZoneAllows(m.Zone, j.Zones) && u.Used.CPUs+j.Need.CPUs <= u.Max.CPUs {
 						t.Fatalf("seed %d: %s waits though %s has room", seed, j.ID, m.ID)
 					}
 				}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -1,10 +1,12 @@
 package sim
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -56,6 +58,28 @@
 	return uint64(n)
 }
 
+// Equal seeds must lead to equal runs, or a failure could not be looked into.
+func TestRunsRepeat(t *testing.T) {
+	run := func() string {
+		var logs bytes.Buffer
+		w := NewWorld(Settings(3), 11, &logs)
+		w.Populate()
+		w.Load(100*time.Second, 4*time.Second)
+		w.At(40*time.Second, func() { Faults["crash all"](w) })
+		w.Run(150 * time.Second)
+		return logs.String()
+	}
+	first, second := strings.Split(run(), "\n"), strings.Split(run(), "\n")
+	for i := range min(len(first), len(second)) {
+		if first[i] != second[i] {
+			t.Fatalf("line %d differs:\n%s\n%s", i, first[i], second[i])
+		}
+	}
+	if len(first) != len(second) || len(first) < 500 {
+		t.Fatalf("%d and %d lines", len(first), len(second))
+	}
+}
+
 // A day without trouble: everything that can run is done in the end.
 func TestQuietDay(t *testing.T) {
 	for seed := range seeds(4) {
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -82,7 +82,7 @@
 func (s *StateService) Outage(d time.Duration) {
 	s.down = max(s.down, s.w.now+d)
 	s.w.At(s.down, func() {
-		for id := range s.leases {
+		for _, id := range core.Keys(s.leases) {
 			s.extend(id)
 		}
 		s.wake()
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -179,7 +179,7 @@
 		delete(g.members, t.id.Index)
 		if g.running && !g.over {
 			g.over = true
-			for _, i := range sortedInts(g.members) {
+			for _, i := range core.Keys(g.members) {
 				o := g.members[i]
 				o.m.in(time.Duration(m.w.between(0.2, 1)*float64(m.w.Cfg.Workers.GangPeer)), func() { o.m.exit(o, api.CausePeers) })
 			}
@@ -187,15 +187,6 @@
 	}
 }
 
-func sortedInts[V any](m map[int]V) []int {
-	var out []int
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Ints(out)
-	return out
-}
-
 func (m *Machine) sorted() []*task {
 	var out []*task
 	for _, t := range m.tasks {
@@ -445,7 +436,7 @@
 	}
 	g.running = true
 	d := core.Seconds(t.job.EstimateS * m.w.between(0.5, 1.5))
-	for _, i := range sortedInts(g.members) {
+	for _, i := range core.Keys(g.members) {
 		g.members[i].state = api.TaskRunning
 		g.members[i].m.report(500 * time.Millisecond)
 	}
@@ -453,13 +444,13 @@
 		if g.over {
 			return
 		}
-		for _, i := range sortedInts(g.members) {
+		for _, i := range core.Keys(g.members) {
 			if o := g.members[i]; o.state != api.TaskRunning || o.m.phase != machineUp || m.w.now < o.m.hung {
 				return
 			}
 		}
 		g.over = true
-		for _, i := range sortedInts(g.members) {
+		for _, i := range core.Keys(g.members) {
 			o := g.members[i]
 			o.m.exit(o, api.CauseDone)
 		}
