--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -210,7 +210,7 @@
 	if e.Over() {
 		if j != nil {
 			for _, i := range core.Keys(j.slots) {
-				if s := j.slots[i]; s.state == planned {
+				if s := j.slots[i]; s != nil && s.state == planned {
 					h.setOff(s, "job over")
 				}
 			}
@@ -293,12 +293,12 @@
 	}
 	j.broken = true
 	for _, i := range core.Keys(j.slots) {
-		if s := j.slots[i]; s.state == planned {
+		if s := j.slots[i]; s != nil && s.state == planned {
 			delete(s.machine.slots, s.slotKey)
 			h.moveSlot(s, off)
 			delete(j.slots, s.task.Index)
 			j.again = append(j.again, s.task.Index)
-		} else {
+		} else if s != nil {
 			s.stop = true
 		}
 	}
@@ -914,6 +914,9 @@
 	if m.notice != 0 || m.idle == 0 || now.Sub(m.idle) < releaseIdle {
 		return false
 	}
+	if now.Sub(m.idle) > h.Config.Operator.Idle {
+		return true // whoever waits cannot use it as it is
+	}
 	for _, j := range h.jobs {
 		if j.waiting() > 0 && h.allows(j, m) {
 			return false
