--- a/api/parse.go
+++ b/api/parse.go
@@ -69,7 +69,7 @@
 		return Job{}, p.err
 	case !ValidJobID(j.ID):
 		return Job{}, &FieldError{"uid", "not in the form of a job id"}
-	case j.Form != FormArray && j.Form != FormGang:
+	case j.Form != FormArray && j.Form != FormGang && j.Form != FormService:
 		return Job{}, &FieldError{"form", "unknown"}
 	case j.Rank != RankProduction && j.Rank != RankHigh && j.Rank != RankStandard && j.Rank != RankBestEffort:
 		return Job{}, &FieldError{"rank", "unknown"}
--- a/api/users.go
+++ b/api/users.go
@@ -31,6 +31,9 @@
 const (
 	FormArray = "batch"
 	FormGang  = "group"
+	// FormService is not in the protocol's page, but users submit it: its tasks
+	// run, independently, until the job is cancelled. See docs/questions.md.
+	FormService = "standing"
 )
 
 // Ranks of a job, highest first.
