--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -58,9 +58,9 @@
 	machines map[core.MachineID]*machine
 	jobs     map[core.JobID]*job
 	dirty    bool
+	passing  bool // a pass is due
 	passAt   core.Time
 	writing  bool
-	relAt    core.Time
 }
 
 const (
@@ -117,7 +117,12 @@
 }
 
 // Release ends the holding.
-func (h *Holder) Release() { h.become(released) }
+func (h *Holder) Release() {
+	h.become(released)
+	for _, id := range core.Keys(h.machines) {
+		h.flush(h.machines[id])
+	}
+}
 
 // maxSilence is how long a holder may go on without contact to the state
 // service: a cancellation accepted elsewhere must still take effect in time,
@@ -140,6 +145,7 @@
 	if t.Blocks || t.Pool {
 		if b, ok := h.Mirror.Blocks[h.number]; ok {
 			h.follow(b.Record)
+			h.write()
 		}
 	}
 	for _, id := range t.Jobs {
@@ -148,6 +154,8 @@
 	if len(t.Jobs) > 0 {
 		h.dirty = true
 	}
+	h.passSoon()
+	h.flushReady()
 }
 
 // follow brings the machines in line with the block's record.
@@ -174,6 +182,7 @@
 			}
 			h.machines[r.ID] = m
 			h.dirty = true
+			h.fence(m)
 		}
 		m.up, m.asked, m.lost = r.Up, r.Asked, r.Lost
 	}
@@ -185,6 +194,7 @@
 			}
 			h.clearMachine(m, "machine left the block")
 			delete(h.machines, id)
+			h.flush(m)
 		}
 	}
 	for _, p := range h.Mirror.Pool.Record.Machines {
@@ -329,13 +339,15 @@
 	h.dirty = true
 }
 
-// Report answers a worker's report. status 0 means that the machine is not
-// ours to answer.
-func (h *Holder) Report(rep *api.Report) (api.ReportAnswer, bool) {
+// Report answers a worker's report, now or, if it has nothing to do, a little
+// later; done(_, false) means that the machine is not ours to answer.
+func (h *Holder) Report(rep *api.Report, done func(api.ReportAnswer, bool)) {
 	m := h.machines[core.MachineID(rep.Machine)]
 	if m == nil || !h.Entitled() || core.Term(rep.Term) > h.term || m.floor == ^core.Season(0) {
-		return api.ReportAnswer{}, false
+		done(api.ReportAnswer{}, false)
+		return
 	}
+	h.flush(m)
 	now := h.Loop.Now()
 	m.addr = rep.Addr
 	fresh := h.take(m, rep, true, now)
@@ -343,19 +355,93 @@
 	if !m.fenced {
 		h.fence(m)
 	}
-	a := api.ReportAnswer{Term: uint64(h.term), Orders: []api.Order{}}
 	if !fresh {
-		return a, true
+		done(api.ReportAnswer{Term: uint64(h.term), Orders: []api.Order{}}, true)
+		return
+	}
+	h.passSoon()
+	if h.urgent(m) || !m.empty() && !m.planned() {
+		done(api.ReportAnswer{Term: uint64(h.term), Orders: h.orders(m)}, true)
+		return
+	}
+	x := &held{done}
+	m.held = x
+	h.Loop.After(h.holdTime(), func() {
+		if m.held == x {
+			h.flush(m)
+		}
+	})
+	if m.asked {
+		h.write()
 	}
-	if h.dirty && h.state == placing && now.Sub(h.passAt) >= passPause {
+}
+
+// holdTime is how long the answer to an idle worker may be kept back. Its lease
+// counts from the sending of the report, and it gives up after four seconds.
+func (h *Holder) holdTime() time.Duration {
+	return min(answerDrop*5/8, h.Config.Workers.Lease/4)
+}
+
+// flush answers a report that was kept back.
+func (h *Holder) flush(m *machine) {
+	x := m.held
+	if x == nil {
+		return
+	}
+	m.held = nil
+	if h.state == released || h.machines[m.id] != m || !h.Entitled() {
+		x.done(api.ReportAnswer{}, false)
+		return
+	}
+	x.done(api.ReportAnswer{Term: uint64(h.term), Orders: h.orders(m)}, true)
+}
+
+// flushReady answers the reports for which there is something to say by now.
+func (h *Holder) flushReady() {
+	for _, id := range core.Keys(h.machines) {
+		if m := h.machines[id]; m.held != nil && h.urgent(m) {
+			h.flush(m)
+		}
+	}
+}
+
+// urgent tells whether a machine should hear of something at once: a start, or
+// a task that has to stop.
+func (h *Holder) urgent(m *machine) bool {
+	for _, s := range m.slots {
+		if s.state == planned && h.ready(m) || s.state == present {
+			return true
+		}
+	}
+	return false
+}
+
+// ready tells whether starts may be sent to a machine.
+func (h *Holder) ready(m *machine) bool {
+	return h.state == placing && m.up && m.fenced && m.state == live
+}
+
+// passSoon plans what can start, not too often.
+func (h *Holder) passSoon() {
+	now := h.Loop.Now()
+	if !h.dirty || h.state != placing {
+		return
+	}
+	if now.Sub(h.passAt) >= passPause {
 		h.pass()
+		return
+	}
+	if !h.passing {
+		h.passing = true
+		h.Loop.After(h.passAt.Add(passPause).Sub(now), func() {
+			h.passing = false
+			h.passSoon()
+		})
 	}
-	a.Orders = h.orders(m, rep)
-	return a, true
 }
 
 // orders composes the commands for a machine that has just reported.
-func (h *Holder) orders(m *machine, rep *api.Report) []api.Order {
+func (h *Holder) orders(m *machine) []api.Order {
 	now := h.Loop.Now()
 	var kills, clears, runs []api.Order
 	for _, s := range m.list() {
@@ -381,7 +467,7 @@
 				kills = append(kills, order)
 			}
 		case planned:
-			if h.state == placing && m.up && m.fenced && m.state == live && len(runs) < maxOrders {
+			if h.ready(m) && len(runs) < maxOrders {
 				h.moveSlot(s, starting)
 				s.sentAt, s.sentSeason, s.sentTally = now, m.season, m.tally
 				s.ends = now.Add(h.expected(s, m))
@@ -653,9 +739,8 @@
 		}
 	}
 	h.checkRecovered()
-	if h.dirty && h.state == placing && now.Sub(h.passAt) >= passPause {
-		h.pass()
-	}
+	h.passSoon()
+	h.flushReady()
 	h.write()
 }
 
@@ -718,6 +803,7 @@
 		h.Log.Debug("oldest waiting job holds a reservation", "job", res.Reserved, "in", res.ReservedAt.Sub(now).String())
 	}
 	h.requestUp()
+	h.flushReady()
 }
 
 // ends is when a task ends by estimate; one that overruns is given more time,
@@ -880,7 +966,7 @@
 				continue
 			}
 		}
-		if h.state == placing && m.fenced && m.empty() && !m.lost && m.state == live && (m.leaving == version || h.releasable(m, now)) {
+		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && m.state == live && (m.leaving == version || h.releasable(m, now)) {
 			h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
 			free := r
 			free.Up, free.Asked, free.Addr, free.Seen = false, false, m.addr, h.term
@@ -913,6 +999,18 @@
 	}
 }
 
+// vacant tells whether nothing is booked on a machine and nothing is left on it
+// that only this block could still write down.
+func (h *Holder) vacant(m *machine) bool {
+	for _, s := range m.slots {
+		e := h.Mirror.Jobs[s.task.Job]
+		if s.booked() || s.cause == api.CauseDone && e != nil && !e.Over() && !e.Done.Has(s.task.Index) {
+			return false
+		}
+	}
+	return true
+}
+
 // releasable tells whether an empty machine should leave the block.
 func (h *Holder) releasable(m *machine, now core.Time) bool {
 	if m.asked {
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -100,8 +100,13 @@
 	images  map[string]bool
 	recent  []string
 	slots   map[slotKey]*slot
+	held    *held // a report that waits for its answer
 }
 
+// held is a report whose answer is kept back for a moment: a worker with
+// nothing to do learns of a start at once, instead of with its next report.
+type held struct{ done func(api.ReportAnswer, bool) }
+
 func (m *machine) booked() placement.Need {
 	var n placement.Need
 	for _, s := range m.slots {
@@ -124,9 +129,20 @@
 	return out
 }
 
+// planned tells whether all that is booked on the machine is still only planned.
+func (m *machine) planned() bool {
+	for _, s := range m.slots {
+		if s.booked() && s.state != planned {
+			return false
+		}
+	}
+	return true
+}
+
+// empty tells whether nothing is booked on the machine.
 func (m *machine) empty() bool {
 	for _, s := range m.slots {
-		if s.state != off {
+		if s.booked() {
 			return false
 		}
 	}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -318,25 +318,81 @@
 	if !ok {
 		if n.leader != nil {
 			n.leader.Saw(&rep)
-			reply(refuse(503, "the machine belongs to no block yet", ""))
-			return
-		}
-		to := ""
-		if l := n.mirror.Leader.Record; l != nil && l.Host != n.cfg.Host {
-			to = string(l.Host)
 		}
-		reply(Answer{Status: 421, Body: api.Redirect{Steward: to}})
+		n.park(&rep, reply)
+		return
+	}
+	h := n.holders[num]
+	if h == nil {
+		n.redirect(id, reply)
 		return
 	}
-	if h := n.holders[num]; h != nil {
-		if a, ok := h.Report(&rep); ok {
+	h.Report(&rep, func(a api.ReportAnswer, ok bool) {
+		if ok {
 			reply(Answer{Status: 200, Body: a})
 			return
 		}
-		reply(Answer{Status: 421, Body: api.Redirect{}})
+		n.park(&rep, reply)
+	})
+}
+
+// parked is a report from a machine that belongs to no block at the moment.
+type parked struct {
+	rep   *api.Report
+	due   core.Time
+	reply Reply
+}
+
+const (
+	parkTime  = 1500 * time.Millisecond
+	maxParked = 100
+)
+
+// park keeps the answer to a report back until the machine's block is known.
+func (n *Node) park(rep *api.Report, reply Reply) {
+	if len(n.parked) >= maxParked {
+		n.redirect(core.MachineID(rep.Machine), reply)
 		return
 	}
-	to := n.mirror.Blocks[num].Record.Holder
+	n.parked = append(n.parked, parked{rep, n.loop.Now().Add(parkTime), reply})
+	n.loop.After(parkTime, n.unpark)
+	n.unpark()
+}
+
+// unpark sends parked machines to their holders.
+func (n *Node) unpark() {
+	now := n.loop.Now()
+	waiting := n.parked
+	n.parked = nil
+	for _, p := range waiting {
+		id := core.MachineID(p.rep.Machine)
+		num, ok := n.mirror.MachineBlock(id)
+		switch {
+		case !ok && now < p.due && (n.leader != nil || n.mirror.Pool.Record.Find(id) >= 0):
+			n.parked = append(n.parked, p)
+		case ok && n.holders[num] != nil:
+			n.holders[num].Report(p.rep, func(a api.ReportAnswer, ok bool) {
+				if ok {
+					p.reply(Answer{Status: 200, Body: a})
+					return
+				}
+				n.redirect(id, p.reply)
+			})
+		default:
+			n.redirect(id, p.reply)
+		}
+	}
+}
+
+// redirect tells a worker where its machine belongs: to the holder of its
+// block, or to the leader if it has none.
+func (n *Node) redirect(id core.MachineID, reply Reply) {
+	to := core.Host("")
+	if num, ok := n.mirror.MachineBlock(id); ok {
+		to = n.mirror.Blocks[num].Record.Holder
+	} else if l := n.mirror.Leader.Record; l != nil {
+		to = l.Host
+	}
 	if to == n.cfg.Host {
 		to = ""
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	creates   []*create
 	creating  bool
 	stopped   bool
+	parked    []parked
 	shapes    capacity.Shapes
 	peers     map[core.Host]heard
 	broadcast func([]byte)
@@ -233,6 +234,7 @@
 	if n.leader != nil {
 		n.leader.Tick()
 	}
+	n.unpark()
 }
 
 // follow starts and ends the roles that the records give this node.
