--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -852,6 +852,7 @@
 			Types: j.spec.Types, OneZone: j.spec.OneZone, Scatter: j.spec.Scatter, Spot: j.spec.Spot, Image: j.spec.Image,
 			Estimate: j.estimate(), Zones: map[string]int{}, Avoid: map[core.MachineID]bool{}, Guaranteed: sum[team] <= guaranteed[team],
 		}
+		p.Late = capacity.Late(h.Config.Aims, j.spec, j.at, h.Loop.Wall())
 		if j.spec.Zone != nil {
 			p.Zone = *j.spec.Zone
 		}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -51,6 +51,27 @@
 	Kept     map[Kind]bool
 	Closed   map[Offer]bool // kinds that were refused lately
 	Idle     time.Duration
+	// Keep is how much should stay although nobody claims it now, since so
+	// much was wanted lately.
+	Keep Level
+}
+
+// Level is an amount of capacity: for arrays in CPUs, for gangs in machines of
+// the kinds kept for them.
+type Level struct {
+	CPUs float64
+	Kept float64
+}
+
+const (
+	// keepTime is how fast a level fades once less is wanted.
+	keepTime = 90 * time.Second
+)
+
+// Fade brings a level from one time to another, given what is wanted now.
+func (l Level) Fade(passed time.Duration, now Level) Level {
+	f := math.Exp(-passed.Seconds() / keepTime.Seconds())
+	return Level{max(now.CPUs, l.CPUs*f), max(now.Kept, l.Kept*f)}
 }
 
 // Rental is machines to be rented for a block.
@@ -66,6 +87,7 @@
 	Ask    []core.MachineID       // machines to be asked back from their blocks
 	Rent   []Rental
 	Return []core.MachineID
+	Want   Level
 }
 
 type room struct {
@@ -120,6 +142,9 @@
 			continue
 		}
 		p.team[j.Team] += float64(n) * j.Need.CPUs
+		if !j.Gang {
+			p.plan.Want.CPUs += float64(n) * j.Need.CPUs
+		}
 		j.Zones = map[string]int{}
 		if j.OneZone && j.Zone == "" {
 			j.Zone = p.zone(j, n)
@@ -147,15 +172,59 @@
 		switch {
 		case r.m.Block == NoBlock && r.used && r.block != NoBlock:
 			p.plan.Assign[r.m.ID] = r.block
-		case r.m.Block == NoBlock && r.m.Free >= in.Idle:
-			p.plan.Return = append(p.plan.Return, r.m.ID)
 		case r.m.Block != NoBlock && r.used && r.block != r.m.Block && !r.m.Asked:
 			p.plan.Ask = append(p.plan.Ask, r.m.ID)
 		}
 	}
+	p.giveBack()
 	return p.plan
 }
 
+// giveBack returns machines that have been free for a while, the dearest first,
+// as long as enough stays.
+func (p *planner) giveBack() {
+	var have Level
+	var idle []*room
+	cost := func(r *room) float64 {
+		t := p.in.Types[r.m.Type]
+		if r.m.Spot {
+			return t.SpotPrice / t.CPUs
+		}
+		return t.Price / t.CPUs
+	}
+	for _, r := range p.rooms {
+		kept := p.in.Kept[Kind{r.m.Type, r.m.Spot}]
+		if kept {
+			have.Kept++
+			if r.used {
+				p.plan.Want.Kept++
+			}
+		} else {
+			have.CPUs += p.in.Types[r.m.Type].CPUs
+		}
+		if r.m.Block == NoBlock && !r.used && r.m.Free >= p.in.Idle {
+			idle = append(idle, r)
+		}
+	}
+	sort.SliceStable(idle, func(a, b int) bool { return cost(idle[a]) > cost(idle[b]) })
+	for _, r := range idle {
+		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
+			if have.Kept-1 < math.Round(p.in.Keep.Kept) {
+				continue
+			}
+			have.Kept--
+		} else {
+			cpus := p.in.Types[r.m.Type].CPUs
+			// A level fades but never quite ends: half a machine counts as none.
+			if have.CPUs-cpus < p.in.Keep.CPUs-cpus/2 {
+				continue
+			}
+			have.CPUs -= cpus
+		}
+		p.plan.Return = append(p.plan.Return, r.m.ID)
+	}
+}
+
 // wants tells how many tasks of a job should run at the same time.
 func (p *planner) wants(j *Job) int {
 	n := j.Remaining
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lichenstair/api"
+	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
 )
@@ -52,6 +53,28 @@
 	}
 }
 
+// A job is late only when every aim on its time has been missed; after a long
+// time it takes its place again.
+func TestLate(t *testing.T) {
+	deadline := 100.0
+	aims := []config.Aim{
+		{Kind: "deadline", Class: "x", Times: 1}, {Kind: "deadline", Class: "x", Times: 1.5},
+		{Kind: "wait", Class: "y", Within: 20 * time.Second}, {Kind: "finished", Class: "y", Within: 90 * time.Second},
+	}
+	x := &api.Job{Class: "x", DeadlineS: &deadline, EstimateS: 30}
+	y := &api.Job{Class: "y", EstimateS: 30}
+	z := &api.Job{Class: "z", EstimateS: 30}
+	for _, tc := range []struct {
+		job  *api.Job
+		age  core.Wall
+		late bool
+	}{{x, 110_000, false}, {x, 121_000, true}, {y, 10_000, false}, {y, 59_000, false}, {y, 61_000, true}, {y, 901_000, false}, {z, 500_000, false}} {
+		if got := Late(aims, tc.job, 0, tc.age); got != tc.late {
+			t.Errorf("%s at %d: %v", tc.job.Class, tc.age, got)
+		}
+	}
+}
+
 // The oldest gang that needs a rare machine gets it, also from another block;
 // what nobody claims is returned after a while, and not before.
 func TestMovesAndReturns(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,7 @@
 	Kind, Class string
 	Within      time.Duration
 	Share       float64
+	Times       float64
 }
 
 // Workers holds what workers do by the clock.
@@ -122,6 +123,7 @@
 			Class   string  `toml:"class"`
 			WithinS float64 `toml:"within_s"`
 			Share   float64 `toml:"share"`
+			Times   float64 `toml:"times"`
 		} `toml:"objectives"`
 		Workers struct {
 			ReportS   *float64 `toml:"report_s"`
@@ -287,7 +289,7 @@
 		c.Teams = append(c.Teams, team)
 	}
 	for _, o := range s.Objectives {
-		c.Aims = append(c.Aims, Aim{o.Kind, o.Class, core.Seconds(o.WithinS), o.Share})
+		c.Aims = append(c.Aims, Aim{o.Kind, o.Class, core.Seconds(o.WithinS), o.Share, o.Times})
 	}
 	return c, k.err
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -54,6 +54,8 @@
 	rented    []state.Machine         // rented, not yet written
 	rentals   int                     // in flight
 	stable    map[core.Host]core.Time
+	level     capacity.Level // what was wanted lately
+	levelAt   core.Time
 }
 
 // New starts to lead under the record that the mirror shows.
@@ -666,7 +668,10 @@
 		j.Guaranteed = sum[j.Team] <= guaranteed[j.Team]
 	}
 	in.Jobs = jobs
-	return capacity.Make(in)
+	in.Keep = l.level.Fade(now.Sub(l.levelAt), capacity.Level{})
+	plan := capacity.Make(in)
+	l.level, l.levelAt = l.level.Fade(now.Sub(l.levelAt), plan.Want), now
+	return plan
 }
 
 func rank(r string) int {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -85,6 +85,8 @@
 	Avoid map[core.MachineID]bool
 	// NoChoice: the job's tasks fit only on machines that are kept for gangs.
 	NoChoice bool
+	// Late: every aim on the job's time has been missed for good.
+	Late bool
 	// Guaranteed: the job fits into what its team is guaranteed.
 	Guaranteed bool
 }
@@ -135,14 +137,17 @@
 	return p.out
 }
 
-// Sort puts jobs into the order in which they are served: by rank, work within
-// a guarantee before borrowed, then the oldest first.
+// Sort puts jobs into the order in which they are served: by rank, those that
+// can still be in time before those that cannot, work within a guarantee before
+// borrowed, then the oldest first.
 func Sort(jobs []*Job) {
 	sort.SliceStable(jobs, func(a, b int) bool {
 		x, y := jobs[a], jobs[b]
 		switch {
 		case x.Rank != y.Rank:
 			return x.Rank > y.Rank
+		case x.Late != y.Late:
+			return y.Late
 		case x.Guaranteed != y.Guaranteed:
 			return x.Guaranteed
 		case x.At != y.At:
