--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -228,6 +228,7 @@
 				}
 			}
 			delete(h.jobs, id)
+			h.Log.Info("job is over", "job", id, "phase", e.Phase)
 			h.dirty = true
 		}
 		return
@@ -241,6 +242,7 @@
 			rank: rankOf(e.Spec.Rank), slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{},
 		}
 		h.jobs[id] = j
+		h.Log.Info("job to place", "job", id, "class", j.spec.Class, "team", j.spec.Team, "form", j.spec.Form, "tasks", j.spec.Tasks, "age_ms", h.Loop.Wall()-j.at)
 		for _, mid := range core.Keys(h.machines) {
 			for _, s := range h.machines[mid].list() {
 				if s.task.Job == id && s.booked() {
@@ -615,6 +617,7 @@
 	if j != nil && (v.State == api.TaskRunning || v.State == api.TaskGathering || v.State == api.TaskSaving) {
 		m.sawImage(j.spec.Image)
 		if s.since == 0 && v.State == api.TaskRunning {
+			h.Log.Debug("task runs", "task", k.task.String(), "attempt", k.attempt, "machine", m.id)
 			s.since = now
 			s.ends = now.Add(j.estimate())
 		}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -56,22 +56,49 @@
 	Keep Level
 }
 
-// Level is an amount of capacity: for arrays in CPUs, for gangs in machines of
-// the kinds kept for them.
+// Level is an amount of capacity.
 type Level struct {
-	CPUs float64
-	Kept float64
+	CPUs float64 // for arrays
+	Kept float64 // for gangs, in machines of the kinds kept for them
+	Spot float64 // CPUs for arrays that may use spot machines
+}
+
+// Trend is what was wanted lately: peaks that fade, and for spot machines,
+// which cost little to keep, a mean over a longer time.
+type Trend struct {
+	peak  Level
+	sum   float64
+	share float64
+	at    core.Time
 }
 
 const (
-	// keepTime is how fast a level fades once less is wanted.
-	keepTime = 90 * time.Second
+	// peakTime is how fast a peak fades once less is wanted.
+	peakTime = 30 * time.Second
+	// meanTime is how far the mean looks back.
+	meanTime = 180 * time.Second
+	// headroom is how much more than the mean is kept ready on spot machines.
+	headroom = 1.0
 )
 
-// Fade brings a level from one time to another, given what is wanted now.
-func (l Level) Fade(passed time.Duration, now Level) Level {
-	f := math.Exp(-passed.Seconds() / keepTime.Seconds())
-	return Level{max(now.CPUs, l.CPUs*f), max(now.Kept, l.Kept*f)}
+// Note takes in what is wanted now.
+func (t *Trend) Note(now core.Time, want Level) {
+	passed := now.Sub(t.at).Seconds()
+	t.at = now
+	f := math.Exp(-passed / peakTime.Seconds())
+	t.peak = Level{CPUs: max(want.CPUs, t.peak.CPUs*f), Kept: max(want.Kept, t.peak.Kept*f)}
+	f = math.Exp(-passed / meanTime.Seconds())
+	t.sum = t.sum*f + want.Spot*(1-f)
+	t.share = t.share*f + (1 - f)
+}
+
+// Keep tells how much to keep.
+func (t *Trend) Keep() Level {
+	l := t.peak
+	if t.share > 0 {
+		l.Spot = t.sum / t.share * headroom
+	}
+	return l
 }
 
 // Rental is machines to be rented for a block.
@@ -144,6 +171,9 @@
 		p.team[j.Team] += float64(n) * j.Need.CPUs
 		if !j.Gang {
 			p.plan.Want.CPUs += float64(n) * j.Need.CPUs
+			if j.Spot {
+				p.plan.Want.Spot += float64(n) * j.Need.CPUs
+			}
 		}
 		j.Zones = map[string]int{}
 		if j.OneZone && j.Zone == "" {
@@ -215,14 +245,40 @@
 			have.Kept--
 		} else {
 			cpus := p.in.Types[r.m.Type].CPUs
+			keep := p.in.Keep.CPUs
+			if r.m.Spot {
+				keep = max(keep, p.in.Keep.Spot)
+			}
 			// A level fades but never quite ends: half a machine counts as none.
-			if have.CPUs-cpus < p.in.Keep.CPUs-cpus/2 {
+			if have.CPUs-cpus < keep-cpus/2 {
 				continue
 			}
 			have.CPUs -= cpus
 		}
 		p.plan.Return = append(p.plan.Return, r.m.ID)
 	}
+	p.rentAhead(have.CPUs)
+}
+
+// rentAhead rents spot machines, the cheapest by CPU, up to the level that is
+// to be kept ready.
+func (p *planner) rentAhead(have float64) {
+	var best Offer
+	cost := math.Inf(1)
+	for _, name := range core.Keys(p.in.Types) {
+		t := p.in.Types[name]
+		for _, zone := range t.Zones {
+			o := Offer{name, zone, true}
+			if c := t.SpotPrice / t.CPUs; c < cost-1e-9 && !p.in.Closed[o] && !p.in.Kept[Kind{name, true}] && have+t.CPUs/2 < p.in.Keep.Spot {
+				best, cost = o, c
+			}
+		}
+	}
+	if best.Type == "" || len(p.plan.Rent) > 0 {
+		return
+	}
+	n := int(math.Ceil((p.in.Keep.Spot - have) / p.in.Types[best.Type].CPUs))
+	p.plan.Rent = append(p.plan.Rent, Rental{best, NoBlock, min(n, 10)})
 }
 
 // wants tells how many tasks of a job should run at the same time.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -54,8 +54,7 @@
 	rented    []state.Machine         // rented, not yet written
 	rentals   int                     // in flight
 	stable    map[core.Host]core.Time
-	level     capacity.Level // what was wanted lately
-	levelAt   core.Time
+	trend     capacity.Trend
 }
 
 // New starts to lead under the record that the mirror shows.
@@ -668,9 +667,9 @@
 		j.Guaranteed = sum[j.Team] <= guaranteed[j.Team]
 	}
 	in.Jobs = jobs
-	in.Keep = l.level.Fade(now.Sub(l.levelAt), capacity.Level{})
+	in.Keep = l.trend.Keep()
 	plan := capacity.Make(in)
-	l.level, l.levelAt = l.level.Fade(now.Sub(l.levelAt), plan.Want), now
+	l.trend.Note(now, plan.Want)
 	return plan
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -92,7 +92,12 @@
 }
 
 // Team is what a team uses and may use.
-type Team struct{ Used, Max Need }
+type Team struct {
+	Used, Max Need
+	// full: a job was skipped because of the limit. What the team has left is
+	// for that job; later ones must not take it away bit by bit.
+	full bool
+}
 
 // Start is a task of a job to be started on a machine.
 type Start struct {
@@ -191,11 +196,15 @@
 
 func (p *pass) teamHasRoom(j *Job, tasks int) bool {
 	t := p.teams[j.Team]
-	if t == nil {
+	if t == nil || t.full {
 		return false
 	}
 	after := t.Used.Plus(j.Need.Times(float64(tasks)))
-	return after.CPUs <= t.Max.CPUs+slack && after.GPUs <= t.Max.GPUs+slack
+	if after.CPUs > t.Max.CPUs+slack || after.GPUs > t.Max.GPUs+slack {
+		t.full = true
+		return false
+	}
+	return true
 }
 
 func (p *pass) start(j *Job, m *Machine) {
