--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -19,6 +19,7 @@
 	Block     int
 	Remaining int
 	Deadline  core.Wall // 0: none
+	ImageGB   float64
 }
 
 // Machine is a machine of a block or of the pool.
@@ -367,6 +368,19 @@
 	return got
 }
 
+// worthwhile tells whether an ordinary machine should be rented for a job that
+// may use spot machines: only if it can still help it to meet its deadline.
+func (p *planner) worthwhile(j *Job, t api.MachineType) bool {
+	if j.Gang || !j.Spot || j.Deadline == 0 {
+		return true
+	}
+	ready := core.Seconds(t.BootS) + j.Estimate
+	if t.FetchGBPerS > 0 {
+		ready += core.Seconds(j.ImageGB / t.FetchGBPerS)
+	}
+	return p.in.Now+core.Wall(ready.Milliseconds()) < j.Deadline
+}
+
 // rent adds the cheapest machines that take n tasks of a job, and claims them.
 func (p *planner) rent(j *Job, n int) {
 	type choice struct {
@@ -391,6 +405,9 @@
 				if p.in.Closed[o] || p.keeps(j, name, spot) || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
 					continue
 				}
+				if !spot && !p.worthwhile(j, t) {
+					continue
+				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -645,6 +645,7 @@
 		j.ID, j.Team, j.At, j.Need = id, e.Team, e.At, placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB}
 		j.Gang, j.Tasks, j.Types, j.Spot = e.Spec.Form == api.FormGang, e.Tasks, e.Spec.Types, e.Spec.Spot
 		j.OneZone, j.Scatter = e.Spec.OneZone, e.Spec.Scatter
+		j.ImageGB = e.Spec.ImageGB
 		j.Estimate = core.Seconds(e.Spec.EstimateS)
 		j.Rank = rank(e.Spec.Rank)
 		if e.Spec.Zone != nil {
