--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -59,15 +59,14 @@
 
 // Level is an amount of capacity.
 type Level struct {
-	CPUs float64 // for arrays
 	Kept float64 // for gangs, in machines of the kinds kept for them
 	Spot float64 // CPUs for arrays that may use spot machines
 }
 
-// Trend is what was wanted lately: peaks that fade, and for spot machines,
-// which cost little to keep, a mean over a longer time.
+// Trend is what was wanted lately: for gangs a peak that fades, for spot
+// machines, which cost little to keep, a mean over a longer time.
 type Trend struct {
-	peak  Level
+	peak  float64
 	sum   float64
 	share float64
 	at    core.Time
@@ -87,7 +86,7 @@
 	passed := now.Sub(t.at).Seconds()
 	t.at = now
 	f := math.Exp(-passed / peakTime.Seconds())
-	t.peak = Level{CPUs: max(want.CPUs, t.peak.CPUs*f), Kept: max(want.Kept, t.peak.Kept*f)}
+	t.peak = max(want.Kept, t.peak*f)
 	f = math.Exp(-passed / meanTime.Seconds())
 	t.sum = t.sum*f + want.Spot*(1-f)
 	t.share = t.share*f + (1 - f)
@@ -95,7 +94,7 @@
 
 // Keep tells how much to keep.
 func (t *Trend) Keep() Level {
-	l := t.peak
+	l := Level{Kept: t.peak}
 	if t.share > 0 {
 		l.Spot = t.sum / t.share * headroom
 	}
@@ -171,7 +170,6 @@
 		}
 		p.team[j.Team] += float64(n) * j.Need.CPUs
 		if !j.Gang {
-			p.plan.Want.CPUs += float64(n) * j.Need.CPUs
 			if j.Spot {
 				p.plan.Want.Spot += float64(n) * j.Need.CPUs
 			}
@@ -214,7 +212,7 @@
 // giveBack returns machines that have been free for a while, the dearest first,
 // as long as enough stays.
 func (p *planner) giveBack() {
-	var have Level
+	have := struct{ Kept, CPUs float64 }{}
 	var idle []*room
 	cost := func(r *room) float64 {
 		t := p.in.Types[r.m.Type]
@@ -246,12 +244,8 @@
 			have.Kept--
 		} else {
 			cpus := p.in.Types[r.m.Type].CPUs
-			keep := p.in.Keep.CPUs
-			if r.m.Spot {
-				keep = max(keep, p.in.Keep.Spot)
-			}
 			// A level fades but never quite ends: half a machine counts as none.
-			if have.CPUs-cpus < keep-cpus/2 {
+			if r.m.Spot && have.CPUs-cpus < p.in.Keep.Spot-cpus/2 {
 				continue
 			}
 			have.CPUs -= cpus
@@ -295,7 +289,7 @@
 		return n
 	}
 	if j.Deadline > 0 && !j.Guaranteed {
-		left := float64(j.Deadline-p.in.Now)/1000*0.75 - 5
+		left := float64(j.Deadline-p.in.Now) / 1000 * 0.85
 		est := max(j.Estimate.Seconds(), 1)
 		if left > est {
 			n = min(n, int(math.Ceil(float64(n)/math.Floor(left/est))))
