A block leaves a holder that no longer hears its machines

Holders now tell in their heartbeats how many machines they hear, the others how many strays came to them; the leader moves the block to where the machines come, and a stray is parked instead of sent back.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -1162,8 +1162,14 @@
 		}
 	}
 	for _, id := range core.Keys(h.machines) {
-		if m := h.machines[id]; m.state == live && m.empty() {
-			hint.Idle = append(hint.Idle, id)
+		switch m := h.machines[id]; {
+		case m.state == live:
+			hint.Live++
+			if m.empty() {
+				hint.Idle = append(hint.Idle, id)
+			}
+		case m.state == silent || m.state == unsure || m.state == lapsed && m.up:
+			hint.Silent++
 		}
 	}
 	return hint, running
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"reflect"
+	"slices"
 	"sort"
 	"time"
 
@@ -29,6 +30,9 @@
 	State  *state.Client
 	Cloud  *cloud.Client
 	Kept   func() map[capacity.Kind]bool
+	// Deaf names the controller that should hold a block whose holder does not
+	// hear its machines.
+	Deaf func(block int) (core.Host, bool)
 }
 
 // Leader acts for one term.
@@ -54,6 +58,7 @@
 	rented    []state.Machine         // rented, not yet written
 	rentals   int                     // in flight
 	stable    map[core.Host]core.Time
+	deafTo    map[core.Host]deafness
 	trend     capacity.Trend
 }
 
@@ -62,7 +67,7 @@
 	l := &Leader{
 		Env: env, record: record, list: map[core.MachineID]api.ListedMachine{}, closed: map[capacity.Offer]core.Time{},
 		free: map[core.MachineID]core.Time{}, sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{},
-		stable: map[core.Host]core.Time{},
+		stable: map[core.Host]core.Time{}, deafTo: map[core.Host]deafness{},
 	}
 	l.Log.Info("we lead", "term", record.Record.Term)
 	return l
@@ -312,6 +317,11 @@
 		}
 		return best
 	}
+	// Controllers that lately did not hear their machines get no blocks as long
+	// as others can take them.
+	if hearing := slices.DeleteFunc(slices.Clone(live), func(m state.Member) bool { return now < l.deafTo[m.Host].until }); len(hearing) > 0 {
+		live = hearing
+	}
 	var moves []*state.Block
 	for _, n := range numbers {
 		b := l.Mirror.Blocks[n].Record
@@ -324,6 +334,9 @@
 		count[to.Host]++
 		moves = append(moves, c)
 	}
+	if len(moves) == 0 {
+		moves = l.leaveDeaf(numbers, live, now)
+	}
 	if len(moves) == 0 {
 		to := fewest()
 		for _, n := range numbers {
@@ -347,6 +360,45 @@
 	}
 }
 
+// deafness is how long a controller counts as not hearing machines.
+type deafness struct {
+	until core.Time
+	last  time.Duration
+}
+
+const (
+	deafTime    = 30 * time.Second
+	maxDeafTime = 4 * time.Minute
+)
+
+// leaveDeaf moves a block away from a holder that is well with the state
+// service but does not hear the block's machines, to one that they come to.
+func (l *Leader) leaveDeaf(numbers []int, live []state.Member, now core.Time) []*state.Block {
+	for _, n := range numbers {
+		host, ok := l.Deaf(n)
+		if !ok {
+			continue
+		}
+		for _, m := range live {
+			if m.Host != host {
+				continue
+			}
+			b := l.Mirror.Blocks[n].Record
+			d := l.deafTo[b.Holder]
+			if now >= d.until {
+				d.last = min(max(2*d.last, deafTime), maxDeafTime)
+			}
+			d.until = now.Add(d.last)
+			l.deafTo[b.Holder] = d
+			l.Log.Info("holder does not hear its machines", "block", n, "holder", b.Holder, "heard_by", host)
+			c := b.Clone()
+			c.Holder, c.Tenure = m.Host, m.Tenure
+			return []*state.Block{c}
+		}
+	}
+	return nil
+}
+
 // writeTypes keeps a durable copy of the machine types, so that nodes know
 // them even while the cloud does not answer.
 func (l *Leader) writeTypes(t *api.Txn) {
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -324,6 +324,13 @@
 	}
 	h := n.holders[num]
 	if h == nil {
+		n.noteStray(id, num)
+		if n.looksDeaf(num) {
+			// Sent back there, the worker would lose another few seconds of its
+			// lease; the block may be ours in a moment.
+			n.park(&rep, reply)
+			return
+		}
 		n.redirect(id, reply)
 		return
 	}
@@ -344,7 +351,7 @@
 }
 
 const (
-	parkTime  = 1500 * time.Millisecond
+	parkTime  = 2500 * time.Millisecond
 	maxParked = 100
 )
 
@@ -378,6 +385,8 @@
 				}
 				n.redirect(id, p.reply)
 			})
+		case ok && now < p.due && n.looksDeaf(num):
+			n.parked = append(n.parked, p)
 		default:
 			n.redirect(id, p.reply)
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -32,6 +32,7 @@
 		b.Blocks = append(b.Blocks, hint)
 		b.Running = append(b.Running, running...)
 	}
+	b.Strays = n.strayHints()
 	n.broadcast(peer.Encode(b))
 }
 
@@ -72,6 +73,119 @@
 	return false
 }
 
+// stray is a report from a machine of another holder's block.
+type stray struct {
+	block   int
+	granted core.Term
+	at      core.Time
+}
+
+// grantSeen is when this node learnt of the grant of a block.
+type grantSeen struct {
+	granted core.Term
+	at      core.Time
+}
+
+// settleTime is how long a new holder has to find its machines.
+const settleTime = 5 * time.Second
+
+const (
+	// strayTime is how long a stray report counts: a worker that cannot reach
+	// its holder comes by about that often.
+	strayTime = 8 * time.Second
+	maxStrays = 1000
+)
+
+// noteStray remembers a report that belongs to another holder.
+func (n *Node) noteStray(id core.MachineID, num int) {
+	if len(n.strays) < maxStrays {
+		n.strays[id] = stray{num, n.mirror.Blocks[num].Record.Granted, n.loop.Now()}
+	}
+}
+
+func (n *Node) strayHints() []peer.StrayHint {
+	now := n.loop.Now()
+	count := map[int]int{}
+	for id, s := range n.strays {
+		b, ok := n.mirror.Blocks[s.block]
+		if now.Sub(s.at) > strayTime || !ok || b.Record.Granted != s.granted {
+			delete(n.strays, id)
+			continue
+		}
+		count[s.block]++
+	}
+	var out []peer.StrayHint
+	for _, num := range core.Keys(count) {
+		out = append(out, peer.StrayHint{Number: num, Machines: count[num]})
+	}
+	return out
+}
+
+// hint returns what a block's holder last told of it; ok is false if it has not
+// told anything lately.
+func (n *Node) hint(num int, holder core.Host) (peer.BlockHint, bool) {
+	if h := n.holders[num]; h != nil {
+		hint, _ := h.Hint()
+		return hint, true
+	}
+	p, ok := n.peers[holder]
+	if !ok || n.loop.Now().Sub(p.at) > beatValid {
+		return peer.BlockHint{}, false
+	}
+	for _, b := range p.Blocks {
+		if b.Number == num {
+			return b, true
+		}
+	}
+	return peer.BlockHint{}, false
+}
+
+// looksDeaf tells whether a block's holder seems not to hear most of the
+// block's machines, though it may be well otherwise.
+func (n *Node) looksDeaf(num int) bool {
+	b, ok := n.mirror.Blocks[num]
+	if !ok {
+		return false
+	}
+	if g := n.grants[num]; g.granted != b.Record.Granted {
+		n.grants[num] = grantSeen{b.Record.Granted, n.loop.Now()}
+		return false
+	} else if n.loop.Now().Sub(g.at) < settleTime {
+		return false
+	}
+	hint, ok := n.hint(num, b.Record.Holder)
+	return ok && hint.Silent > 0 && hint.Silent > hint.Live || !ok && len(b.Record.Machines) > 0
+}
+
+// deaf tells which controller should hold a block instead of its holder: one
+// to which at least half of the machines come that the holder does not hear.
+func (n *Node) deaf(num int) (core.Host, bool) {
+	b, ok := n.mirror.Blocks[num]
+	if !ok || !n.looksDeaf(num) {
+		return "", false
+	}
+	need := 1
+	if hint, ok := n.hint(num, b.Record.Holder); ok {
+		need = max(1, (hint.Silent+1)/2)
+	}
+	best, most := core.Host(""), 0
+	look := func(h core.Host, strays []peer.StrayHint) {
+		for _, s := range strays {
+			if s.Number == num && s.Machines > most && h != b.Record.Holder {
+				best, most = h, s.Machines
+			}
+		}
+	}
+	now := n.loop.Now()
+	look(n.cfg.Host, n.strayHints())
+	for _, host := range core.Keys(n.peers) {
+		if p := n.peers[host]; now.Sub(p.at) < beatValid && p.Contact < contactLost {
+			look(host, p.Strays)
+		}
+	}
+	return best, most >= need
+}
+
 // running counts the tasks of a job that run, as far as is known here.
 func (n *Node) running(id core.JobID) (sum int) {
 	for _, h := range n.holders {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -17,7 +17,7 @@
 // that kinds can be added; a change of a payload needs a new version.
 const (
 	magic0, magic1 = 'l', 's'
-	version        = 1
+	version        = 2
 	headerSize     = 8
 	// MaxPayload bounds a frame.
 	MaxPayload = 32 << 10
@@ -33,6 +33,7 @@
 	Contact time.Duration
 	Blocks  []BlockHint
 	Running []RunningHint
+	Strays  []StrayHint
 }
 
 // BlockHint is what a holder tells of its block.
@@ -41,9 +42,18 @@
 	Granted core.Term
 	Placing bool
 	Waiting int // tasks
+	Live    int // machines that report to the holder
+	Silent  int // machines that have stopped to
 	Idle    []core.MachineID
 }
 
+// StrayHint counts the machines of another holder's block that have lately
+// come to the sender to report.
+type StrayHint struct {
+	Number   int
+	Machines int
+}
+
 // RunningHint counts the tasks of a job that run.
 type RunningHint struct {
 	Job   core.JobID
@@ -73,6 +83,8 @@
 		}
 		p = append(p, placing)
 		p = binary.AppendUvarint(p, uint64(h.Waiting))
+		p = binary.AppendUvarint(p, uint64(h.Live))
+		p = binary.AppendUvarint(p, uint64(h.Silent))
 		idle := h.Idle[:min(len(h.Idle), maxIdle)]
 		p = binary.AppendUvarint(p, uint64(len(idle)))
 		for _, id := range idle {
@@ -85,6 +97,12 @@
 		p = putText(p, string(r.Job))
 		p = binary.AppendUvarint(p, uint64(r.Tasks))
 	}
+	strays := b.Strays[:min(len(b.Strays), maxBlocks)]
+	p = binary.AppendUvarint(p, uint64(len(strays)))
+	for _, s := range strays {
+		p = binary.AppendUvarint(p, uint64(s.Number))
+		p = binary.AppendUvarint(p, uint64(s.Machines))
+	}
 	p[0], p[1], p[2], p[3] = magic0, magic1, version, kindBeat
 	binary.BigEndian.PutUint32(p[4:], uint32(len(p)-headerSize))
 	return p
@@ -128,7 +146,7 @@
 	b.Tenure = core.Tenure(d.number())
 	b.Contact = time.Duration(min(d.number(), 1<<32)) * time.Millisecond
 	for range d.count(maxBlocks) {
-		h := BlockHint{Number: int(d.number()), Granted: core.Term(d.number()), Placing: d.byte() == 1, Waiting: int(d.number())}
+		h := BlockHint{Number: int(d.number()), Granted: core.Term(d.number()), Placing: d.byte() == 1, Waiting: int(d.number()), Live: int(d.number()), Silent: int(d.number())}
 		for range d.count(maxIdle) {
 			h.Idle = append(h.Idle, core.MachineID(d.text()))
 		}
@@ -137,6 +155,9 @@
 	for range d.count(maxRunning) {
 		b.Running = append(b.Running, RunningHint{core.JobID(d.text()), int(d.number())})
 	}
+	for range d.count(maxBlocks) {
+		b.Strays = append(b.Strays, StrayHint{int(d.number()), int(d.number())})
+	}
 	if d.failed || len(d.rest) > 0 {
 		return Beat{}, false, errMalformed
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -120,6 +120,34 @@
 	}
 }
 
+// A holder that no longer hears its block's workers, though it reaches the
+// state service, must lose the block to a controller that does before the
+// workers' leases run out. Without that, every task of the block was lost again
+// and again for as long as the cut lasted (docs/incidents/inc-96b0.md).
+func TestDeafHolderLosesItsBlock(t *testing.T) {
+	lost := 0
+	for seed := range uint64(6) {
+		w := NewWorld(Settings(3), 500+seed, nil)
+		w.Populate()
+		w.Load(150*time.Second, 2*time.Second)
+		w.At(80*time.Second, func() {
+			h := party(w.Hosts[seed%3].name)
+			for _, m := range w.Cloud.Up() {
+				w.CutBoth(h, party(m.addr), 50*time.Second, false)
+			}
+		})
+		w.Run(140 * time.Second)
+		if len(w.Check.Broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+		}
+		lost += w.LeaseKills
+	}
+	// A worker that turns away late may still lose a task or two.
+	if lost > 20 {
+		t.Fatalf("%d tasks were lost with their workers' leases", lost)
+	}
+}
+
 // Troubles mixed at random.
 func TestMixedFaults(t *testing.T) {
 	for seed := range seeds(25) {
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -155,6 +155,11 @@
 
 func (m *Machine) checkLease() {
 	if m.phase == machineUp && time.Duration(float64(m.w.now-m.answered)*m.rate) > m.w.Cfg.Workers.Lease {
+		for _, t := range m.tasks {
+			if t.state != api.TaskExited {
+				m.w.LeaseKills++
+			}
+		}
 		m.dropAll()
 		m.season++
 		m.answered = m.w.now
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -41,14 +41,17 @@
 
 // World is everything around the controllers, and the controllers.
 type World struct {
-	Cfg    config.Config
-	Rand   *rand.Rand
-	Check  *Checker
-	State  *StateService
-	Cloud  *Cloud
-	Users  *Users
-	Hosts  []*Host
-	Logs   io.Writer
+	Cfg   config.Config
+	Rand  *rand.Rand
+	Check *Checker
+	State *StateService
+	Cloud *Cloud
+	Users *Users
+	Hosts []*Host
+	Logs  io.Writer
+	// LeaseKills counts the tasks that ended because a worker's lease did.
+	LeaseKills int
+
 	now    Clock
 	seq    uint64
 	events queue
