No more tasks on a machine than its report can name; the leader logs what was carried out

A made-up job of 100,000 small tasks put thousands on a machine, whose report then passed 64 KiB and was refused.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -58,6 +58,7 @@
 	rented    []state.Machine         // rented, not yet written
 	rentals   int                     // in flight
 	stable    map[core.Host]core.Time
+	notes     []note // of the transaction being composed
 	deafTo    map[core.Host]deafness
 	trend     capacity.Trend
 }
@@ -135,6 +136,7 @@
 		return
 	}
 	t := api.Txn{If: []api.Condition{{Key: state.KeyLeader, Version: uint64(l.record.Version)}}}
+	l.notes = nil
 	for _, step := range []func(*api.Txn){l.found, l.grant, l.writeTypes, l.machines} {
 		if step(&t); len(t.Then) > 0 {
 			break
@@ -144,6 +146,7 @@
 		return
 	}
 	l.busy = true
+	notes := l.notes
 	l.State.Txn(t, func(r state.Result) {
 		next := func(bool) {
 			l.busy = false
@@ -151,6 +154,9 @@
 		}
 		switch r.Outcome {
 		case state.Applied:
+			for _, n := range notes {
+				l.Log.Info(n.text, n.args...)
+			}
 			l.Mirror.Await(r.Revision, next)
 		case state.Refused:
 			l.again = l.Loop.Now().Add(500 * time.Millisecond)
@@ -166,6 +172,16 @@
 	})
 }
 
+// note keeps a line for the log until what it tells of has been carried out.
+func (l *Leader) note(text string, args ...any) {
+	l.notes = append(l.notes, note{text, args})
+}
+
+type note struct {
+	text string
+	args []any
+}
+
 func set(key string, v any) api.Change {
 	raw, err := json.Marshal(v)
 	if err != nil {
@@ -354,7 +370,7 @@
 	}
 	first := l.draw(t, len(moves))
 	for i, b := range moves {
-		l.Log.Info("granting block", "block", b.Number, "from", l.Mirror.Blocks[b.Number].Record.Holder, "to", b.Holder, "term", first+core.Term(i))
+		l.note("granting block", "block", b.Number, "from", l.Mirror.Blocks[b.Number].Record.Holder, "to", b.Holder, "term", first+core.Term(i))
 		b.Term, b.Granted = first+core.Term(i), first+core.Term(i)
 		l.setBlock(t, b)
 	}
@@ -390,7 +406,7 @@
 			}
 			d.until = now.Add(d.last)
 			l.deafTo[b.Holder] = d
-			l.Log.Info("holder does not hear its machines", "block", n, "holder", b.Holder, "heard_by", host)
+			l.note("holder does not hear its machines", "block", n, "holder", b.Holder, "heard_by", host)
 			c := b.Clone()
 			c.Holder, c.Tenure = m.Host, m.Tenure
 			return []*state.Block{c}
@@ -511,20 +527,20 @@
 		b.Machines = append(b.Machines, m)
 		pool.Machines = append(pool.Machines[:i], pool.Machines[i+1:]...)
 		poolChanged = true
-		l.Log.Info("machine goes to a block", "machine", id, "type", m.Type, "block", n)
+		l.note("machine goes to a block", "machine", id, "type", m.Type, "block", n)
 	}
 	for _, id := range plan.Ask {
 		n := inBlock[id]
 		if i := edit(n).Find(id); i >= 0 {
 			out[n].Machines[i].Asked = true
-			l.Log.Info("machine is asked back", "machine", id, "block", n)
+			l.note("machine is asked back", "machine", id, "block", n)
 		}
 	}
 	for _, id := range plan.Return {
 		if i := pool.Find(id); i >= 0 && pool.Machines[i].Fate == state.Free {
 			pool.Machines[i].Fate = state.Returning
 			poolChanged = true
-			l.Log.Info("machine is returned", "machine", id, "type", pool.Machines[i].Type)
+			l.note("machine is returned", "machine", id, "type", pool.Machines[i].Type)
 		}
 	}
 	if len(raise) > 0 {
@@ -565,7 +581,7 @@
 			Since: l.Loop.Wall() - core.Wall(m.AgeS*1000), Seen: l.Mirror.Term.Record.Last,
 		})
 		*changed = true
-		l.Log.Info("machine adopted", "machine", id, "type", m.Type, "phase", m.Phase)
+		l.note("machine adopted", "machine", id, "type", m.Type, "phase", m.Phase)
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,12 +53,18 @@
 	Booked   Need
 	Releases []Release
 	Images   map[string]bool
+	// Tasks counts what is on the machine, MaxTasks bounds it (0: no bound).
+	Tasks    int
+	MaxTasks int
 	// Kept: the machine is kept for gangs, which do not fit elsewhere.
 	Kept bool
 	// Shunned: the machine has failed tasks lately; it is taken last.
 	Shunned bool
 }
 
+// full tells whether n more tasks are too many for the machine.
+func (m *Machine) full(n int) bool { return m.MaxTasks > 0 && m.Tasks+n > m.MaxTasks }
+
 // Free returns what is not booked.
 func (m *Machine) Free() Need { return m.Total.Minus(m.Booked) }
 
@@ -209,6 +215,7 @@
 
 func (p *pass) start(j *Job, m *Machine) {
 	m.Booked = m.Booked.Plus(j.Need)
+	m.Tasks++
 	m.Releases = append(m.Releases, Release{p.now.Add(j.Estimate), j.Need})
 	if j.Zones == nil {
 		j.Zones = map[string]int{}
@@ -332,7 +339,7 @@
 	var pick *Machine
 	var top rating
 	for _, m := range p.machines {
-		if m.Kept && !j.NoChoice || !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.ZoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
+		if m.full(1) || m.Kept && !j.NoChoice || !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.ZoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
 			continue
 		}
 		if p.policy.FirstFit {
@@ -396,7 +403,9 @@
 	}
 	var picks []*Machine
 	for i := range rooms {
-		for len(picks) < j.Waiting && j.Need.Fits(rooms[i].left) && j.ZoneAllows(rooms[i].m.Zone, zones) {
+		n := 1
+		for len(picks) < j.Waiting && !rooms[i].m.full(n) && j.Need.Fits(rooms[i].left) && j.ZoneAllows(rooms[i].m.Zone, zones) {
+			n++
 			rooms[i].left = rooms[i].left.Minus(j.Need)
 			zones[rooms[i].m.Zone]++
 			picks = append(picks, rooms[i].m)
@@ -487,7 +496,7 @@
 			// another machine stands unless this one has now become better.
 			if i == at || options[i].m == m || jobs[i].Team == jobs[at].Team {
 				stale[i] = true
-			} else if options[i].m != nil && jobs[i].Need.Fits(p.beside(jobs[i])(m)) &&
+			} else if options[i].m != nil && !m.full(1) && jobs[i].Need.Fits(p.beside(jobs[i])(m)) &&
 				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].ZoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] && (!m.Kept || jobs[i].NoChoice) {
 				if r := rate(jobs[i], m); r.better(options[i].r) {
 					options[i] = option{m, r}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/node"
@@ -127,6 +128,10 @@
 	if p == nil {
 		return // a machine without power says nothing
 	}
+	if len(r.Body) > api.MaxBody {
+		reply(core.Response{Status: 400})
+		return
+	}
 	p.do(func() {
 		answer := func(a node.Answer) {
 			if p.dead {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"lichenstair/api"
 )
 
 func faultNames() []string {
@@ -148,6 +150,32 @@
 	}
 }
 
+// A job of as many tasks as there may be, each so small that thousands would
+// fit on a machine. The worker's report names every task on the machine, and no
+// request body may be longer than 64 KiB: the stand-in refuses longer ones.
+func TestHugeJob(t *testing.T) {
+	w := NewWorld(Settings(3), 77, nil)
+	w.Populate()
+	w.At(5*time.Second, func() {
+		j := w.RandomJob(1)
+		j.Form, j.Team, j.Types, j.Zone, j.GPUs, j.OneZone, j.Scatter = api.FormArray, "blue", nil, nil, 0, false, false
+		j.Tasks, j.CPUs, j.MemoryGB, j.EstimateS, j.Spot, j.ImageGB = api.MaxTasks, 0.001, 0.001, 2, true, 0.1
+		w.Users.Submit(j)
+	})
+	w.Run(200 * time.Second)
+	if len(w.Check.Broken) > 0 {
+		t.Fatal(w.Check.Broken)
+	}
+	if done := len(w.Check.jobs["req-000001"].done); done < 10_000 {
+		t.Fatalf("only %d tasks were done", done)
+	}
+	for _, e := range w.State.keys {
+		if len(e.value) > w.Cfg.StateLim.ValueBytes {
+			t.Fatal("a record is too long")
+		}
+	}
+}
+
 // Troubles mixed at random.
 func TestMixedFaults(t *testing.T) {
 	for seed := range seeds(25) {
