--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -64,12 +64,9 @@
 }
 
 const (
-	margin     = 500 * time.Millisecond
-	answerDrop = 4 * time.Second // workers drop later answers to reports
-	maxOrders  = 150
-	// maxTasks bounds the tasks on a machine, exited ones included: a worker's
-	// report names them all and may not be longer than a request body.
-	maxTasks    = 450
+	margin      = 500 * time.Millisecond
+	answerDrop  = 4 * time.Second // workers drop later answers to reports
+	maxOrders   = 150
 	passPause   = 150 * time.Millisecond
 	roundPause  = 250 * time.Millisecond
 	maxRounds   = 24
@@ -789,7 +786,7 @@
 		if !h.usable(m) {
 			continue
 		}
-		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Tasks: len(m.slots), MaxTasks: maxTasks, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
+		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Tasks: len(m.slots), MaxTasks: placement.MaxTasks, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
 		for _, s := range m.slots {
 			if s.booked() {
 				p.Releases = append(p.Releases, placement.Release{At: h.ends(s, now), Need: s.need})
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -122,6 +122,7 @@
 	free  placement.Need
 	block int // for whom it is claimed
 	used  bool
+	tasks int
 }
 
 type planner struct {
@@ -352,10 +353,11 @@
 		if !suits(r) || !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) || p.keeps(j, r.m.Type, r.m.Spot) {
 			continue
 		}
-		for got < n && j.Need.Fits(r.free) && j.ZoneAllows(r.m.Zone, j.Zones) {
+		for got < n && r.tasks < placement.MaxTasks && j.Need.Fits(r.free) && j.ZoneAllows(r.m.Zone, j.Zones) {
 			j.Zones[r.m.Zone]++
 			r.free = r.free.Minus(j.Need)
 			r.used, r.block = true, j.Block
+			r.tasks++
 			got++
 		}
 	}
@@ -387,7 +389,7 @@
 		t := p.in.Types[name]
 		total := placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 		fit := 0
-		for left := total; fit < n && j.Need.Fits(left); fit++ {
+		for left := total; fit < min(n, placement.MaxTasks) && j.Need.Fits(left); fit++ {
 			left = left.Minus(j.Need)
 		}
 		if fit == 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,6 +14,10 @@
 	"lichenstair/internal/core"
 )
 
+// MaxTasks bounds the tasks on a machine, exited ones included: a worker's
+// report names them all and may not be longer than a request body.
+const MaxTasks = 450
+
 // Need is an amount of each resource.
 type Need struct{ CPUs, GPUs, MemoryGB float64 }
 
