--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -973,6 +973,7 @@
 		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && m.state == live && (m.leaving == version || h.releasable(m, now)) {
 			h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
 			free := r
+			free.Doomed = false
 			free.Up, free.Asked, free.Addr, free.Seen = false, false, m.addr, h.term
 			if i := pool.Find(r.ID); i >= 0 {
 				pool.Machines[i] = free
@@ -992,6 +993,10 @@
 			r.Lost = true
 			changed = true
 		}
+		if doomed := m.notice != 0 || m.state == lapsed; doomed != r.Doomed {
+			r.Doomed = doomed
+			changed = true
+		}
 		out.Machines = append(out.Machines, r)
 	}
 	if changed {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -523,7 +523,7 @@
 		if m.Seen >= b.Term {
 			raise[n] = true
 		}
-		m.Seen, m.Up, m.Asked, m.Lost = 0, false, false, false
+		m.Seen, m.Up, m.Asked, m.Lost, m.Doomed = 0, false, false, false, false
 		b.Machines = append(b.Machines, m)
 		pool.Machines = append(pool.Machines[:i], pool.Machines[i+1:]...)
 		poolChanged = true
@@ -694,7 +694,7 @@
 	}
 	for _, n := range core.Keys(l.Mirror.Blocks) {
 		for _, m := range l.Mirror.Blocks[n].Record.Machines {
-			if i := pool.Find(m.ID); m.Lost || i >= 0 && pool.Machines[i].Fate != state.Free {
+			if i := pool.Find(m.ID); m.Lost || m.Doomed || i >= 0 && pool.Machines[i].Fate != state.Free {
 				continue
 			}
 			in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: n, Asked: m.Asked})
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -68,6 +68,9 @@
 	Asked bool `json:"asked,omitempty"`
 	// Lost: the holder wants the machine to be returned to the cloud.
 	Lost bool `json:"lost,omitempty"`
+	// Doomed: the cloud takes the machine back, or its lease has run out; it is
+	// no capacity to count on.
+	Doomed bool `json:"doomed,omitempty"`
 	// Since is when the machine was rented or first seen.
 	Since core.Wall `json:"since,omitempty"`
 	// Seen is the term under which its last block commanded it (pool only).
