--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -130,6 +130,26 @@
 		w.State.Lose = 0.1
 		w.In(20*time.Second, func() { w.State.Lose = 0 })
 	},
+	"repeats": func(w *World) {
+		w.Repeat = 0.2
+		w.In(30*time.Second, func() { w.Repeat = 0.002 })
+	},
+	"held for minutes": func(w *World) { w.CutBoth(party(w.anyHost().name), "", 150*time.Second, true) },
+	"worker held for minutes": func(w *World) {
+		if m := w.anyMachine(); m != nil {
+			w.CutBoth(party(m.addr), "", 150*time.Second, true)
+		}
+	},
+	"cut between controllers": func(w *World) {
+		w.CutBoth(party(w.Hosts[0].name), party(w.Hosts[1].name), w.cutTime(), w.chance(0.5))
+	},
+	"users cut": func(w *World) { w.CutBoth("users", party(w.anyHost().name), w.cutTime(), w.chance(0.5)) },
+	"election and restart": func(w *World) {
+		for _, h := range w.Hosts {
+			h.Restart(time.Duration(w.between(20, 900)) * time.Millisecond)
+			w.In(time.Duration(w.between(100, 1500))*time.Millisecond, func() { h.Restart(50 * time.Millisecond) })
+		}
+	},
 	"cut from state":       func(w *World) { w.CutBoth(party(w.anyHost().name), "state", w.cutTime(), w.chance(0.5)) },
 	"one-way cut to state": func(w *World) { w.Cut(party(w.anyHost().name), "state", w.cutTime(), w.chance(0.7)) },
 	"one-way cut from state": func(w *World) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -52,6 +52,9 @@
 	// LeaseKills counts the tasks that ended because a worker's lease did.
 	LeaseKills int
 
+	// Repeat is the share of requests that arrive a second time, later.
+	Repeat float64
+
 	now    Clock
 	seq    uint64
 	events queue
@@ -68,7 +71,7 @@
 func NewWorld(cfg config.Config, seed uint64, logs io.Writer) *World {
 	w := &World{
 		Cfg: cfg, Rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), Logs: logs,
-		gangs: map[gangKey]*gang{}, done: map[core.TaskID]bool{},
+		Repeat: 0.002, gangs: map[gangKey]*gang{}, done: map[core.TaskID]bool{},
 	}
 	w.Check = NewChecker(cfg.Teams, cfg.Workers.Cancel)
 	w.State = newStateService(w)
@@ -196,6 +199,13 @@
 			w.carry(to, from, func() { settle(res) })
 		})
 	})
+	if w.Repeat > 0 && r.Path != "/watch" && w.chance(w.Repeat) {
+		w.In(time.Duration(w.between(0.01, 150)*float64(time.Second)), func() {
+			if _, h := w.route(r.Addr); h != nil {
+				h(from, r, func(core.Response) {})
+			}
+		})
+	}
 }
 
 func (w *World) route(addr string) (party, handler) {
