--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -239,7 +239,7 @@
 		}
 		j = &job{
 			id: id, at: e.At, spec: e.Spec, need: placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB},
-			rank: rankOf(e.Spec.Rank), slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{},
+			slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{},
 		}
 		h.jobs[id] = j
 		h.Log.Info("job to place", "job", id, "class", j.spec.Class, "team", j.spec.Team, "form", j.spec.Form, "tasks", j.spec.Tasks, "age_ms", h.Loop.Wall()-j.at)
@@ -776,7 +776,7 @@
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
 		if t, ok := types[m.typ]; ok {
-			m.total = placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+			m.total = placement.Room(t)
 		}
 		for _, s := range m.list() {
 			if s.booked() && teams[s.team] != nil {
@@ -850,15 +850,10 @@
 		if j.gang() && len(j.slots) > 0 {
 			continue
 		}
-		p := &placement.Job{
-			ID: j.id, Team: team, Rank: j.rank, At: j.at, Need: j.need, Gang: j.gang(), Tasks: j.spec.Tasks, Waiting: waiting,
-			Types: j.spec.Types, OneZone: j.spec.OneZone, Scatter: j.spec.Scatter, Spot: j.spec.Spot, Image: j.spec.Image,
-			Estimate: j.estimate(), Zones: map[string]int{}, Avoid: map[core.MachineID]bool{}, Guaranteed: sum[team] <= guaranteed[team],
-		}
+		described := placement.JobOf(j.id, j.at, j.spec)
+		p := &described
+		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, map[string]int{}, map[core.MachineID]bool{}, sum[team] <= guaranteed[team]
 		p.Late = capacity.Late(h.Config.Aims, j.spec, j.at, h.Loop.Wall())
-		if j.spec.Zone != nil {
-			p.Zone = *j.spec.Zone
-		}
 		for _, m := range h.machines {
 			for _, s := range m.slots {
 				if s.task.Job == j.id && s.booked() {
@@ -1000,11 +995,11 @@
 		out.Machines = append(out.Machines, r)
 	}
 	if changed {
-		t.Then = append(t.Then, set(state.KeyBlock(h.number), out))
+		t.Then = append(t.Then, state.Put(state.KeyBlock(h.number), out))
 	}
 	if poolChanged {
 		t.If = append(t.If, api.Condition{Key: state.KeyPool, Version: uint64(h.Mirror.Pool.Version)})
-		t.Then = append(t.Then, set(state.KeyPool, pool))
+		t.Then = append(t.Then, state.Put(state.KeyPool, pool))
 	}
 }
 
@@ -1040,10 +1035,7 @@
 }
 
 func (h *Holder) allows(j *job, m *machine) bool {
-	p := placement.Job{Types: j.spec.Types, Spot: j.spec.Spot}
-	if j.spec.Zone != nil {
-		p.Zone = *j.spec.Zone
-	}
+	p := placement.JobOf(j.id, j.at, j.spec)
 	return p.Allows(m.typ, m.zone, m.spot) && j.need.Fits(m.total)
 }
 
@@ -1077,7 +1069,7 @@
 		if j.done.Len() >= j.spec.Tasks {
 			if room > 2 {
 				t.If = append(t.If, api.Condition{Key: state.KeyJob(id), Version: uint64(e.Version)})
-				t.Then = append(t.Then, set(state.KeyJob(id), e.Job.End(state.JobDone)))
+				t.Then = append(t.Then, state.Put(state.KeyJob(id), e.Job.End(state.JobDone)))
 				room--
 			}
 			continue
@@ -1097,7 +1089,7 @@
 	}
 	if len(round.Done) > 0 && room > 0 {
 		h.round++
-		t.Then = append(t.Then, set(state.KeyRound(h.number, h.granted, h.round), round))
+		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.granted, h.round), round))
 		room--
 	}
 	h.prune(t, room)
@@ -1144,16 +1136,8 @@
 	}
 	if len(merged.Done) > 0 {
 		h.round++
-		t.Then = append(t.Then, set(state.KeyRound(h.number, h.granted, h.round), merged))
-	}
-}
-
-func set(key string, v any) api.Change {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // our own records always can be written as JSON
+		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.granted, h.round), merged))
 	}
-	return api.Change{Set: key, Value: raw}
 }
 
 // Hint tells the other controllers how the block stands.
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -169,7 +169,6 @@
 	at      core.Wall
 	spec    *api.Job
 	need    placement.Need
-	rank    int
 	done    core.Set // known done, durable or not
 	pending core.Set // done, not yet durable
 	slots   map[int]*slot
@@ -181,18 +180,6 @@
 	holdoff core.Time
 }
 
-func rankOf(r string) int {
-	switch r {
-	case api.RankProduction:
-		return 3
-	case api.RankHigh:
-		return 2
-	case api.RankStandard:
-		return 1
-	}
-	return 0
-}
-
 func (j *job) gang() bool { return j.spec.Form == api.FormGang }
 
 func (j *job) estimate() time.Duration { return core.Seconds(j.spec.EstimateS) }
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -73,6 +73,7 @@
 	// guaranteed is what an arriving array wants within its team's guarantee,
 	// on the average over those that come; 0 for those beyond it.
 	guaranteed float64
+	arrival    core.Time // the last one
 	seen       map[core.JobID]bool
 }
 
@@ -86,16 +87,19 @@
 	headroom = 3.0
 	// arrivalWeight is the weight of the newest arrival in that average.
 	arrivalWeight = 0.1
+	// quietTime is how long after the last arrival the average starts to fade.
+	quietTime = time.Minute
 )
 
 // Arrivals takes in the unfinished jobs: those seen for the first time count.
-func (t *Trend) Arrivals(jobs []*Job) {
+func (t *Trend) Arrivals(now core.Time, jobs []*Job) {
 	seen := map[core.JobID]bool{}
 	for _, j := range jobs {
 		seen[j.ID] = true
 		if t.seen[j.ID] || j.Gang || !j.Spot {
 			continue
 		}
+		t.arrival = now
 		wants := 0.0
 		if j.Guaranteed {
 			wants = j.Need.CPUs * float64(j.Tasks)
@@ -114,6 +118,9 @@
 	f = math.Exp(-passed / meanTime.Seconds())
 	t.sum = t.sum*f + want.Spot*(1-f)
 	t.share = t.share*f + (1 - f)
+	if now.Sub(t.arrival) > quietTime {
+		t.guaranteed *= math.Exp(-passed / quietTime.Seconds())
+	}
 }
 
 // Keep tells how much to keep.
@@ -165,7 +172,7 @@
 		if !ok {
 			continue
 		}
-		p.rooms = append(p.rooms, &room{m: m, free: placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}, block: m.Block})
+		p.rooms = append(p.rooms, &room{m: m, free: placement.Room(t), block: m.Block})
 	}
 	sort.SliceStable(p.rooms, func(a, b int) bool { return p.rooms[a].free.CPUs < p.rooms[b].free.CPUs })
 	jobs := append([]*Job{}, in.Jobs...)
@@ -328,7 +335,7 @@
 	in := map[string]bool{}
 	for name, t := range p.in.Types {
 		for _, z := range t.Zones {
-			if j.Allows(name, z, false) && j.Need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) {
+			if j.Allows(name, z, false) && j.Need.Fits(placement.Room(t)) {
 				in[z] = true
 			}
 		}
@@ -411,7 +418,7 @@
 	var best *choice
 	for _, name := range core.Keys(p.in.Types) {
 		t := p.in.Types[name]
-		total := placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+		total := placement.Room(t)
 		fit := 0
 		for left := total; fit < min(n, placement.MaxTasks) && j.Need.Fits(left); fit++ {
 			left = left.Minus(j.Need)
@@ -450,7 +457,7 @@
 	for i := range count {
 		r := &room{
 			m:    &Machine{ID: core.MachineID("rented" + string(rune('0'+i))), Type: best.o.Type, Zone: best.o.Zone, Spot: best.o.Spot, Block: j.Block},
-			free: placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}, block: j.Block,
+			free: placement.Room(t), block: j.Block,
 		}
 		p.rooms = append(p.rooms, r)
 	}
--- a/internal/capacity/shapes.go
+++ b/internal/capacity/shapes.go
@@ -52,7 +52,7 @@
 // NoChoice tells whether a job's tasks fit only on kinds that are kept.
 func NoChoice(j *placement.Job, types map[string]api.MachineType, kept map[Kind]bool) bool {
 	for name, t := range types {
-		if j.Need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) && j.Allows(name, j.Zone, false) &&
+		if j.Need.Fits(placement.Room(t)) && j.Allows(name, j.Zone, false) &&
 			(!kept[Kind{name, false}] || j.Spot && !kept[Kind{name, true}]) {
 			return false
 		}
@@ -77,7 +77,7 @@
 		}
 		var fit []string
 		for name, t := range types {
-			if k.Need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) && seen.job.Allows(name, "", false) {
+			if k.Need.Fits(placement.Room(t)) && seen.job.Allows(name, "", false) {
 				fit = append(fit, name)
 			}
 		}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -3,7 +3,6 @@
 package leader
 
 import (
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"reflect"
@@ -182,31 +181,23 @@
 	args []any
 }
 
-func set(key string, v any) api.Change {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // our own records always can be written as JSON
-	}
-	return api.Change{Set: key, Value: raw}
-}
-
 // draw takes the next n terms from the counter; the first is returned.
 func (l *Leader) draw(t *api.Txn, n int) core.Term {
 	c := l.Mirror.Term
 	t.If = append(t.If, api.Condition{Key: state.KeyTerm, Version: uint64(c.Version)})
-	t.Then = append(t.Then, set(state.KeyTerm, state.TermCounter{Last: c.Record.Last + core.Term(n)}))
+	t.Then = append(t.Then, state.Put(state.KeyTerm, state.TermCounter{Last: c.Record.Last + core.Term(n)}))
 	return c.Record.Last + 1
 }
 
 func (l *Leader) setBlock(t *api.Txn, b *state.Block) {
 	key := state.KeyBlock(b.Number)
 	t.If = append(t.If, api.Condition{Key: key, Version: uint64(l.Mirror.Blocks[b.Number].Version)})
-	t.Then = append(t.Then, set(key, b))
+	t.Then = append(t.Then, state.Put(key, b))
 }
 
 func (l *Leader) setPool(t *api.Txn, p *state.Pool) {
 	t.If = append(t.If, api.Condition{Key: state.KeyPool, Version: uint64(l.Mirror.Pool.Version)})
-	t.Then = append(t.Then, set(state.KeyPool, p))
+	t.Then = append(t.Then, state.Put(state.KeyPool, p))
 }
 
 // live lists the controllers with a tenure, those with fewest blocks first.
@@ -435,7 +426,7 @@
 		return
 	}
 	t.If = append(t.If, api.Condition{Key: state.KeyTypes, Version: uint64(l.Mirror.Types.Version)})
-	t.Then = append(t.Then, set(state.KeyTypes, l.types))
+	t.Then = append(t.Then, state.Put(state.KeyTypes, l.types))
 }
 
 func (l *Leader) priced() map[string]api.MachineType {
@@ -709,16 +700,7 @@
 		if !ok {
 			continue
 		}
-		j := &capacity.Job{Block: n, Remaining: e.Tasks - e.Done.Len()}
-		j.ID, j.Team, j.At, j.Need = id, e.Team, e.At, placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB}
-		j.Gang, j.Tasks, j.Types, j.Spot = e.Spec.Form == api.FormGang, e.Tasks, e.Spec.Types, e.Spec.Spot
-		j.OneZone, j.Scatter = e.Spec.OneZone, e.Spec.Scatter
-		j.ImageGB = e.Spec.ImageGB
-		j.Estimate = core.Seconds(e.Spec.EstimateS)
-		j.Rank = rank(e.Spec.Rank)
-		if e.Spec.Zone != nil {
-			j.Zone = *e.Spec.Zone
-		}
+		j := &capacity.Job{Job: placement.JobOf(id, e.At, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len(), ImageGB: e.Spec.ImageGB}
 		if e.Spec.DeadlineS != nil {
 			j.Deadline = e.At + core.Wall(*e.Spec.DeadlineS*1000)
 		}
@@ -736,25 +718,13 @@
 		j.Guaranteed = sum[j.Team] <= guaranteed[j.Team]
 	}
 	in.Jobs = jobs
-	l.trend.Arrivals(jobs)
+	l.trend.Arrivals(now, jobs)
 	in.Keep = l.trend.Keep()
 	plan := capacity.Make(in)
 	l.trend.Note(now, plan.Want)
 	return plan
 }
 
-func rank(r string) int {
-	switch r {
-	case api.RankProduction:
-		return 3
-	case api.RankHigh:
-		return 2
-	case api.RankStandard:
-		return 1
-	}
-	return 0
-}
-
 // rent sends the rentals of a plan; until they are answered, no more are sent.
 func (l *Leader) rent(rentals []capacity.Rental) {
 	if l.rentals > 0 || len(l.rented) > 0 || l.types == nil {
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -179,7 +179,7 @@
 	fits := false
 	for name, t := range n.types() {
 		for _, zone := range t.Zones {
-			if (j.Zone == nil || *j.Zone == zone) && p.Allows(name, zone, false) && need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) {
+			if (j.Zone == nil || *j.Zone == zone) && p.Allows(name, zone, false) && need.Fits(placement.Room(t)) {
 				fits = true
 			}
 		}
@@ -284,10 +284,9 @@
 			reply(Answer{Status: 200, Body: n.status(id, e)})
 			return
 		}
-		raw, _ := json.Marshal(e.Job.End(state.JobCancelled))
 		t := api.Txn{
 			If:   []api.Condition{{Key: state.KeyJob(id), Version: uint64(e.Version)}},
-			Then: []api.Change{{Set: state.KeyJob(id), Value: raw}},
+			Then: []api.Change{state.Put(state.KeyJob(id), e.Job.End(state.JobCancelled))},
 		}
 		n.state.Txn(t, func(r state.Result) {
 			switch r.Outcome {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 package node
 
 import (
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -178,8 +177,9 @@
 }
 
 func (n *Node) register(again func()) {
-	raw, _ := json.Marshal(state.Member{Host: n.cfg.Host, Tenure: n.tenure})
-	t := api.Txn{Then: []api.Change{{Set: state.KeyMember(n.cfg.Host), Value: raw, Tenure: uint64(n.tenure)}}}
+	put := state.Put(state.KeyMember(n.cfg.Host), state.Member{Host: n.cfg.Host, Tenure: n.tenure})
+	put.Tenure = uint64(n.tenure)
+	t := api.Txn{Then: []api.Change{put}}
 	n.state.Txn(t, func(r state.Result) {
 		if r.Outcome != state.Applied {
 			again()
@@ -201,13 +201,13 @@
 			return
 		}
 		term := n.mirror.Term.Record.Last + 1
-		counter, _ := json.Marshal(state.TermCounter{Last: term})
-		rec, _ := json.Marshal(state.Leader{Host: n.cfg.Host, Tenure: n.tenure, Term: term})
+		put := state.Put(state.KeyLeader, state.Leader{Host: n.cfg.Host, Tenure: n.tenure, Term: term})
+		put.Tenure = uint64(n.tenure)
 		t := api.Txn{
 			If: []api.Condition{{Key: state.KeyLeader}, {Key: state.KeyTerm, Version: uint64(n.mirror.Term.Version)}},
 			Then: []api.Change{
-				{Set: state.KeyTerm, Value: counter},
-				{Set: state.KeyLeader, Value: rec, Tenure: uint64(n.tenure)},
+				state.Put(state.KeyTerm, state.TermCounter{Last: term}),
+				put,
 			},
 		}
 		n.state.Txn(t, func(r state.Result) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,6 +11,7 @@
 	"sort"
 	"time"
 
+	"lichenstair/api"
 	"lichenstair/internal/core"
 )
 
@@ -101,6 +102,35 @@
 	Guaranteed bool
 }
 
+// JobOf describes a job from its specification; what has happened to it so far
+// is for the caller to add.
+func JobOf(id core.JobID, at core.Wall, spec *api.Job) Job {
+	j := Job{
+		ID: id, Team: spec.Team, Rank: rank(spec.Rank), At: at, Need: Need{spec.CPUs, spec.GPUs, spec.MemoryGB},
+		Gang: spec.Form == api.FormGang, Tasks: spec.Tasks, Types: spec.Types, OneZone: spec.OneZone, Scatter: spec.Scatter,
+		Spot: spec.Spot, Image: spec.Image, Estimate: core.Seconds(spec.EstimateS),
+	}
+	if spec.Zone != nil {
+		j.Zone = *spec.Zone
+	}
+	return j
+}
+
+func rank(name string) int {
+	switch name {
+	case api.RankProduction:
+		return 3
+	case api.RankHigh:
+		return 2
+	case api.RankStandard:
+		return 1
+	}
+	return 0
+}
+
+// Room is all that a machine of a type has.
+func Room(t api.MachineType) Need { return Need{t.CPUs, t.GPUs, t.MemoryGB} }
+
 // Team is what a team uses and may use.
 type Team struct {
 	Used, Max Need
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -37,6 +38,15 @@
 	return fmt.Sprintf("%s%d/%d-%d", rounds, n, term, seq)
 }
 
+// Put sets a key to a record.
+func Put(key string, record any) api.Change {
+	raw, err := json.Marshal(record)
+	if err != nil {
+		panic(err) // our own records always can be written as JSON
+	}
+	return api.Change{Set: key, Value: raw}
+}
+
 // Member is the record of a live controller, attached to its tenure.
 type Member struct {
 	Host   core.Host   `json:"host"`
