Ordinary machines for spot-able work only in scarcity

Cause: the account by kind of machine showed ordinary machines at three times the price rented for bursts that were over before they had booted.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -19,7 +19,6 @@
 	Block     int
 	Remaining int
 	Deadline  core.Wall // 0: none
-	ImageGB   float64
 }
 
 // Machine is a machine of a block or of the pool.
@@ -395,17 +394,24 @@
 	return got
 }
 
-// worthwhile tells whether an ordinary machine should be rented for a job that
-// may use spot machines: only if it can still help it to meet its deadline.
-func (p *planner) worthwhile(j *Job, t api.MachineType) bool {
-	if j.Gang || !j.Spot || j.Deadline == 0 {
+// scarce is how many times more than what is there must be wanted before
+// ordinary machines are rented for work that may use spot machines. They cost
+// about three times as much, and what waits for spot machines mostly is done
+// before one has booted.
+const scarce = 3
+
+// worthwhile tells whether an ordinary machine may be rented for a job.
+func (p *planner) worthwhile(j *Job) bool {
+	if j.Gang || !j.Spot {
 		return true
 	}
-	ready := core.Seconds(t.BootS) + j.Estimate
-	if t.FetchGBPerS > 0 {
-		ready += core.Seconds(j.ImageGB / t.FetchGBPerS)
+	have := 0.0
+	for _, r := range p.rooms {
+		if !p.keeps(j, r.m.Type, r.m.Spot) && j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
+			have += p.in.Types[r.m.Type].CPUs
+		}
 	}
-	return p.in.Now+core.Wall(ready.Milliseconds()) < j.Deadline
+	return p.plan.Want.Spot > scarce*have
 }
 
 // rent adds the cheapest machines that take n tasks of a job, and claims them.
@@ -432,7 +438,7 @@
 				if p.in.Closed[o] || p.keeps(j, name, spot) || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
 					continue
 				}
-				if !spot && !p.worthwhile(j, t) {
+				if !spot && !p.worthwhile(j) {
 					continue
 				}
 				price := t.Price
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -75,6 +75,26 @@
 	}
 }
 
+// Work that may use spot machines gets ordinary ones only when far more is
+// wanted than is there; else the money goes to machines that come too late.
+func TestOrdinaryMachinesOnlyInScarcity(t *testing.T) {
+	j := &Job{Remaining: 40}
+	j.ID, j.Team, j.Tasks, j.Spot, j.Need, j.Estimate = "req-1", "red", 40, true, placement.Need{CPUs: 1, MemoryGB: 1}, time.Minute
+	in := Input{Jobs: []*Job{j}, Types: types(), TeamMax: map[string]float64{"red": 100}, Closed: map[Offer]bool{}}
+	for _, o := range []Offer{{"small", "a", true}, {"small", "b", true}, {"large", "a", true}} {
+		in.Closed[o] = true // no spot machine can be had
+	}
+	if p := Make(in); len(p.Rent) != 1 || p.Rent[0].Spot {
+		t.Fatalf("nothing is there, and %+v is rented", p.Rent)
+	}
+	for range 2 {
+		in.Machines = append(in.Machines, &Machine{ID: core.MachineID(rune('a' + len(in.Machines))), Type: "small", Zone: "a"})
+	}
+	if p := Make(in); len(p.Rent) != 0 {
+		t.Fatalf("16 CPUs for 40 tasks, and %+v is rented", p.Rent)
+	}
+}
+
 // The oldest gang that needs a rare machine gets it, also from another block;
 // what nobody claims is returned after a while, and not before.
 func TestMovesAndReturns(t *testing.T) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -700,7 +700,7 @@
 		if !ok {
 			continue
 		}
-		j := &capacity.Job{Job: placement.JobOf(id, e.At, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len(), ImageGB: e.Spec.ImageGB}
+		j := &capacity.Job{Job: placement.JobOf(id, e.At, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len()}
 		if e.Spec.DeadlineS != nil {
 			j.Deadline = e.At + core.Wall(*e.Spec.DeadlineS*1000)
 		}
