--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/leader"
+	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
 	"lichenstair/internal/worker"
 )
@@ -48,9 +49,12 @@
 	leader     *leader.Leader
 	holders    map[int]*block.Holder
 
-	creates   []*create
-	creating  bool
-	stopped   bool
+	creates  []*create
+	creating bool
+	stopped  bool
+	// Policy chooses how tasks are placed; set before Start.
+	Policy placement.Policy
+
 	parked    []parked
 	strays    map[core.MachineID]stray
 	grants    map[int]grantSeen
@@ -264,7 +268,7 @@
 		b := n.mirror.Blocks[num]
 		if n.holders[num] == nil && n.tenure != 0 && b.Record.Holder == n.cfg.Host && b.Record.Tenure == n.tenure {
 			n.holders[num] = block.New(block.Env{
-				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types, Kept: n.kept,
+				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types, Kept: n.kept, Policy: n.Policy,
 			}, b.Record)
 		}
 	}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -53,6 +53,7 @@
 		}
 	}
 	p.node = node.New(&cfg, p, p, p.broadcast, h.w.logger().With("host", h.name), rand.New(rand.NewPCG(h.w.Rand.Uint64(), 1)))
+	p.node.Policy = h.w.Policy
 	p.do(p.node.Start)
 }
 
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -24,6 +24,7 @@
 	accepted bool
 	final    string
 	began    Clock
+	over     Clock // when its user learnt that it was over
 }
 
 // Hopeless marks a job as one that fails on every machine.
@@ -95,6 +96,9 @@
 				u.Done++
 			}
 			if s.Phase == api.PhaseDone || s.Phase == api.PhaseCancelled {
+				if j.final == "" {
+					j.over = u.w.now
+				}
 				j.final = s.Phase
 			}
 		case res.Status == 404:
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -13,6 +13,7 @@
 
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
 )
 
 // Clock is virtual time since the start of the world.
@@ -52,6 +53,8 @@
 	// LeaseKills counts the tasks that ended because a worker's lease did.
 	LeaseKills int
 
+	// Policy is how the controllers place tasks.
+	Policy placement.Policy
 	// Repeat is the share of requests that arrive a second time, later.
 	Repeat float64
 
