--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -67,7 +67,7 @@
 	l := &Leader{
 		Env: env, record: record, list: map[core.MachineID]api.ListedMachine{}, closed: map[capacity.Offer]core.Time{},
 		free: map[core.MachineID]core.Time{}, sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{},
-		stable: map[core.Host]core.Time{}, deafTo: map[core.Host]deafness{},
+		stable: map[core.Host]core.Time{}, deafTo: map[core.Tenure]deafness{},
 	}
 	l.Log.Info("we lead", "term", record.Record.Term)
 	return l
@@ -326,7 +326,7 @@
 	}
 	// Controllers that lately did not hear their machines get no blocks as long
 	// as others can take them.
-	if hearing := slices.DeleteFunc(slices.Clone(live), func(m state.Member) bool { return now < l.deafTo[m.Host].until }); len(hearing) > 0 {
+	if hearing := slices.DeleteFunc(slices.Clone(live), func(m state.Member) bool { return now < l.deafTo[m.Tenure].until }); len(hearing) > 0 {
 		live = hearing
 	}
 	var moves []*state.Block
@@ -367,7 +367,8 @@
 	}
 }
 
-// deafness is how long a controller counts as not hearing machines.
+// deafness is how long a controller counts as not hearing machines. It is kept by
+// tenure: a restarted controller starts afresh.
 type deafness struct {
 	until core.Time
 	last  time.Duration
@@ -391,12 +392,12 @@
 				continue
 			}
 			b := l.Mirror.Blocks[n].Record
-			d := l.deafTo[b.Holder]
+			d := l.deafTo[b.Tenure]
 			if now >= d.until {
 				d.last = min(max(2*d.last, deafTime), maxDeafTime)
 			}
 			d.until = now.Add(d.last)
-			l.deafTo[b.Holder] = d
+			l.deafTo[b.Tenure] = d
 			l.note("holder does not hear its machines", "block", n, "holder", b.Holder, "heard_by", host)
 			c := b.Clone()
 			c.Holder, c.Tenure = m.Host, m.Tenure
