--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -58,7 +58,7 @@
 	rentals   int                     // in flight
 	stable    map[core.Host]core.Time
 	notes     []note // of the transaction being composed
-	deafTo    map[core.Host]deafness
+	deafTo    map[core.Tenure]deafness
 	trend     capacity.Trend
 }
 
