--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -130,6 +130,10 @@
 		w.State.Lose = 0.1
 		w.In(20*time.Second, func() { w.State.Lose = 0 })
 	},
+	"resets": func(w *World) {
+		w.Reset = 0.3
+		w.In(30*time.Second, func() { w.Reset = 0 })
+	},
 	"repeats": func(w *World) {
 		w.Repeat = 0.2
 		w.In(30*time.Second, func() { w.Repeat = 0.002 })
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"os"
 	"slices"
@@ -11,6 +12,8 @@
 	"time"
 
 	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/state"
 )
 
 func faultNames() []string {
@@ -150,6 +153,43 @@
 	}
 }
 
+// A machine that the cloud has announced to take back must be marked in its
+// block's record at once: the plan counted on such machines until they had been
+// silent for three leases (docs/incidents/inc-ac6e.md).
+func TestNoticeIsPassedOn(t *testing.T) {
+	w := NewWorld(Settings(3), 21, nil)
+	w.Populate()
+	w.Load(120*time.Second, 2*time.Second)
+	w.Run(100 * time.Second)
+	record := func(id string) (doomed, found bool) {
+		for key, e := range w.State.keys {
+			var b state.Block
+			if !strings.HasPrefix(key, "lichenstair/block/") || json.Unmarshal(e.value, &b) != nil {
+				continue
+			}
+			if i := b.Find(core.MachineID(id)); i >= 0 {
+				return b.Machines[i].Doomed, true
+			}
+		}
+		return false, false
+	}
+	told := 0
+	for _, m := range w.Cloud.Up() {
+		if doomed, found := record(m.ID); !found || doomed || len(m.tasks) == 0 {
+			continue
+		}
+		m.Notice(30 * time.Second)
+		w.Run(w.Now() + 4*time.Second)
+		if doomed, found := record(m.ID); found && !doomed {
+			t.Fatalf("%s is to be taken and its record does not say so", m.ID)
+		}
+		if told++; told == 3 {
+			return
+		}
+	}
+	t.Fatalf("only %d machines had something to do", told)
+}
+
 // A job of as many tasks as there may be, each so small that thousands would
 // fit on a machine. The worker's report names every task on the machine, and no
 // request body may be longer than 64 KiB: the stand-in refuses longer ones.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -55,6 +55,9 @@
 
 	// Policy is how the controllers place tasks.
 	Policy placement.Policy
+	// Reset is the share of connections that are reset: before the request
+	// arrives, or after it was carried out.
+	Reset float64
 	// Repeat is the share of requests that arrive a second time, later.
 	Repeat float64
 
@@ -197,6 +200,12 @@
 		w.In(time.Millisecond, func() { settle(core.Response{}) })
 		return
 	}
+	if w.Reset > 0 && w.chance(w.Reset) {
+		w.In(time.Duration(w.between(1, 800))*time.Millisecond, func() { settle(core.Response{}) })
+		if w.chance(0.5) {
+			return
+		}
+	}
 	w.carry(from, to, func() {
 		h(from, r, func(res core.Response) {
 			w.carry(to, from, func() { settle(res) })
