--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -92,15 +92,9 @@
 	return h
 }
 
-// Number returns the block's number.
-func (h *Holder) Number() int { return h.number }
-
 // Granted returns the term of the grant.
 func (h *Holder) Granted() core.Term { return h.granted }
 
-// Placing tells whether recovery is over.
-func (h *Holder) Placing() bool { return h.state == placing }
-
 // become is the one place where the holder's state changes.
 func (h *Holder) become(s holderState) {
 	if h.state == released {
@@ -1141,14 +1135,10 @@
 }
 
 // Hint tells the other controllers how the block stands.
-func (h *Holder) Hint() (peer.BlockHint, []peer.RunningHint) {
+func (h *Holder) Hint() peer.BlockHint {
 	hint := peer.BlockHint{Number: h.number, Granted: h.granted, Placing: h.state == placing}
-	var running []peer.RunningHint
-	for _, id := range core.Keys(h.jobs) {
-		hint.Waiting += max(h.jobs[id].waiting(), 0)
-		if n := h.Running(id); n > 0 {
-			running = append(running, peer.RunningHint{Job: id, Tasks: n})
-		}
+	for _, j := range h.jobs {
+		hint.Waiting += max(j.waiting(), 0)
 	}
 	for _, id := range core.Keys(h.machines) {
 		switch m := h.machines[id]; {
@@ -1161,7 +1151,17 @@
 			hint.Silent++
 		}
 	}
-	return hint, running
+	return hint
+}
+
+// RunningHints tells the other controllers what runs in the block, for display.
+func (h *Holder) RunningHints() (out []peer.RunningHint) {
+	for _, id := range core.Keys(h.jobs) {
+		if n := h.Running(id); n > 0 {
+			out = append(out, peer.RunningHint{Job: id, Tasks: n})
+		}
+	}
+	return out
 }
 
 // Running counts the tasks of a job that run, for display.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -200,24 +200,11 @@
 	t.Then = append(t.Then, state.Put(state.KeyPool, p))
 }
 
-// live lists the controllers with a tenure, those with fewest blocks first.
-func (l *Leader) live() []state.Member {
-	count := map[core.Host]int{}
-	for _, b := range l.Mirror.Blocks {
-		if l.holds(b.Record) {
-			count[b.Record.Holder]++
-		}
+// live lists the controllers with a tenure, by name.
+func (l *Leader) live() (out []state.Member) {
+	for _, h := range core.Keys(l.Mirror.Members) {
+		out = append(out, l.Mirror.Members[h].Record)
 	}
-	var out []state.Member
-	for _, m := range l.Mirror.Members {
-		out = append(out, m.Record)
-	}
-	sort.Slice(out, func(a, b int) bool {
-		if count[out[a].Host] != count[out[b].Host] {
-			return count[out[a].Host] < count[out[b].Host]
-		}
-		return out[a].Host < out[b].Host
-	})
 	return out
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,7 +51,6 @@
 
 	creates  []*create
 	creating bool
-	stopped  bool
 	// Policy chooses how tasks are placed; set before Start.
 	Policy placement.Policy
 
@@ -88,14 +87,8 @@
 	n.beat()
 }
 
-// Stop ends the node's work; a stopped node does nothing more.
-func (n *Node) Stop() { n.stopped = true }
-
 // index proves, over and over, how far the mirror is up to date.
 func (n *Node) index() {
-	if n.stopped {
-		return
-	}
 	if n.mirror.Complete() {
 		n.mirror.Fresh(func(bool) {})
 	}
@@ -103,9 +96,6 @@
 }
 
 func (n *Node) tick() {
-	if n.stopped {
-		return
-	}
 	n.loop.After(tick, n.tick)
 	n.join()
 	n.elect()
@@ -225,9 +215,6 @@
 
 // changed takes in what has changed in the mirror.
 func (n *Node) changed(t state.Touched) {
-	if n.stopped {
-		return
-	}
 	for _, id := range t.Jobs {
 		if e := n.mirror.Jobs[id]; e != nil && e.Spec != nil {
 			n.shapes.Note(n.loop.Now(), e.Spec)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -22,15 +22,11 @@
 
 // beat tells the other controllers how this one stands.
 func (n *Node) beat() {
-	if n.stopped {
-		return
-	}
 	n.loop.After(beatEvery, n.beat)
 	b := peer.Beat{Host: n.cfg.Host, Tenure: n.tenure, Contact: n.contact()}
 	for _, num := range core.Keys(n.holders) {
-		hint, running := n.holders[num].Hint()
-		b.Blocks = append(b.Blocks, hint)
-		b.Running = append(b.Running, running...)
+		b.Blocks = append(b.Blocks, n.holders[num].Hint())
+		b.Running = append(b.Running, n.holders[num].RunningHints()...)
 	}
 	b.Strays = n.strayHints()
 	n.broadcast(peer.Encode(b))
@@ -125,8 +121,7 @@
 // told anything lately.
 func (n *Node) hint(num int, holder core.Host) (peer.BlockHint, bool) {
 	if h := n.holders[num]; h != nil {
-		hint, _ := h.Hint()
-		return hint, true
+		return h.Hint(), true
 	}
 	p, ok := n.peers[holder]
 	if !ok || n.loop.Now().Sub(p.at) > beatValid {
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -231,14 +231,3 @@
 	}
 	return up[w.Rand.IntN(len(up))]
 }
-
-// Usage tells how many tasks of a team are on machines, for tests.
-func (c *Checker) Usage(team string) float64 { return c.cpus[team] }
-
-// OnMachines counts the tasks that are on machines.
-func (c *Checker) OnMachines() (n int) {
-	for _, places := range c.on {
-		n += len(places)
-	}
-	return n
-}
