--- /dev/null
+++ b/api/cloud.go
@@ -0,0 +1,58 @@
+package api
+
+// MachineType is a type of machine that the cloud rents.
+type MachineType struct {
+	Name        string   `json:"sku"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"gpus"`
+	MemoryGB    float64  `json:"ramGb"`
+	CacheGB     float64  `json:"localGb"`
+	FetchGBPerS float64  `json:"fetchGbPerS"`
+	Price       float64  `json:"rate"`
+	SpotPrice   float64  `json:"spotPrice"`
+	BootS       float64  `json:"readyS"`
+	Zones       []string `json:"patches"`
+}
+
+// MachineTypes answers the question for types.
+type MachineTypes struct {
+	Types []MachineType `json:"stocks"`
+}
+
+// Rental asks for machines.
+type Rental struct {
+	Request string `json:"plea"`
+	Type    string `json:"stock"`
+	Zone    string `json:"patch"`
+	Spot    bool   `json:"windfall"`
+	Count   int    `json:"number"`
+}
+
+// MachineNames lists machines, in the answer to a rental and in a return.
+type MachineNames struct {
+	Machines []string `json:"rocks"`
+}
+
+// Phases of a machine in the cloud's list.
+const (
+	MachineBooting = "booting"
+	MachineRunning = "running"
+	MachineFailed  = "failed"
+)
+
+// ListedMachine is a machine in the cloud's list.
+type ListedMachine struct {
+	ID    string  `json:"uid"`
+	Addr  string  `json:"addr"`
+	Type  string  `json:"stock"`
+	Zone  string  `json:"patch"`
+	Spot  bool    `json:"windfall"`
+	Phase string  `json:"phase"`
+	AgeS  float64 `json:"ageS"`
+}
+
+// MachineList is a page of the cloud's list.
+type MachineList struct {
+	Machines []ListedMachine `json:"rocks"`
+	More     bool            `json:"more"`
+}
--- /dev/null
+++ b/api/state.go
@@ -0,0 +1,68 @@
+package api
+
+import "encoding/json"
+
+// Item is a key of the state service with its value.
+type Item struct {
+	Key     string          `json:"path"`
+	Value   json.RawMessage `json:"data"`
+	Version uint64          `json:"growth"`
+	Tenure  uint64          `json:"tenure,omitempty"`
+}
+
+// ItemPage is a page of keys.
+type ItemPage struct {
+	Items    []Item `json:"items"`
+	More     bool   `json:"more"`
+	Revision uint64 `json:"ring"`
+}
+
+// Condition demands that a key has a version; 0: it does not exist.
+type Condition struct {
+	Key     string `json:"path"`
+	Version uint64 `json:"growth"`
+}
+
+// Change sets or removes one key.
+type Change struct {
+	Set    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"data,omitempty"`
+	Tenure uint64          `json:"tenure,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+}
+
+// Txn is an atomic set of changes under conditions.
+type Txn struct {
+	If   []Condition `json:"when"`
+	Then []Change    `json:"apply,omitempty"`
+}
+
+// TxnAnswer answers a Txn; Failed names the conditions that did not hold.
+type TxnAnswer struct {
+	Revision uint64   `json:"ring"`
+	Failed   []string `json:"failed,omitempty"`
+}
+
+// TenureRequest asks for a lease.
+type TenureRequest struct {
+	TTLMS int `json:"ttlMs"`
+}
+
+// TenureAnswer names the lease granted.
+type TenureAnswer struct {
+	Tenure uint64 `json:"tenure"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Set     string          `json:"set,omitempty"`
+	Value   json.RawMessage `json:"data,omitempty"`
+	Version uint64          `json:"growth"`
+	Remove  string          `json:"remove,omitempty"`
+}
+
+// WatchAnswer carries all changes since a revision.
+type WatchAnswer struct {
+	Revision uint64  `json:"ring"`
+	Events   []Event `json:"events"`
+}
--- /dev/null
+++ b/api/users.go
@@ -0,0 +1,64 @@
+// Package api holds the wire formats of lichenstair's interfaces: what users,
+// workers, the cloud and the state service send and receive as JSON. Clients
+// may use it too. Nothing outside this package depends on a name on the wire.
+package api
+
+// Job is the body of a submission. Pointers tell an omitted field from a zero.
+type Job struct {
+	ID          string   `json:"uid"`
+	Class       string   `json:"strain"`
+	Team        string   `json:"crew"`
+	Form        string   `json:"form"`
+	Rank        string   `json:"rank"`
+	Tasks       int      `json:"spores"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"gpus"`
+	MemoryGB    float64  `json:"ramGb"`
+	Image       string   `json:"seedcase"`
+	ImageGB     float64  `json:"pullGb"`
+	Types       []string `json:"stocks"`
+	Zone        *string  `json:"patch"`
+	OneZone     bool     `json:"oneZone"`
+	Scatter     bool     `json:"scatter"`
+	Spot        bool     `json:"windfall"`
+	EstimateS   float64  `json:"growS"`
+	CheckpointS float64  `json:"moltS"`
+	SaveS       float64  `json:"shedS"`
+	DeadlineS   *float64 `json:"ripeS"`
+}
+
+// Forms of a job.
+const (
+	FormArray = "batch"
+	FormGang  = "group"
+)
+
+// Ranks of a job, highest first.
+const (
+	RankProduction = "prod"
+	RankHigh       = "high"
+	RankStandard   = "standard"
+	RankBestEffort = "best_effort"
+)
+
+// Phases of a job as users see them.
+const (
+	PhaseQueued    = "queued"
+	PhaseRunning   = "running"
+	PhaseDone      = "done"
+	PhaseCancelled = "withdrawn"
+)
+
+// JobStatus answers submissions, polls and cancellations.
+type JobStatus struct {
+	ID      string `json:"uid"`
+	Phase   string `json:"phase"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Error is the body of a refusal.
+type Error struct {
+	Error string `json:"error"`
+	Field string `json:"field,omitempty"`
+}
--- /dev/null
+++ b/api/workers.go
@@ -0,0 +1,78 @@
+package api
+
+// Report is what a worker tells of itself and of the tasks on it.
+type Report struct {
+	Machine string     `json:"rock"`
+	Addr    string     `json:"addr"`
+	Type    string     `json:"stock"`
+	Zone    string     `json:"patch"`
+	Spot    bool       `json:"windfall"`
+	Season  uint64     `json:"season"`
+	Tally   uint64     `json:"tally"`
+	Term    uint64     `json:"warrant"`
+	NoticeS *float64   `json:"warningS"`
+	Tasks   []TaskView `json:"spores"`
+}
+
+// TaskView is one task of a report.
+type TaskView struct {
+	Task    string `json:"spore"`
+	Attempt uint64 `json:"sprout"`
+	State   string `json:"phase"`
+	Cause   string `json:"cause,omitempty"`
+	Saved   bool   `json:"saved,omitempty"`
+}
+
+// States of a task on a worker.
+const (
+	TaskFetching  = "fetching"
+	TaskGathering = "gathering"
+	TaskRunning   = "running"
+	TaskSaving    = "saving"
+	TaskExited    = "exited"
+)
+
+// Causes of an exit.
+const (
+	CauseDone       = "done"
+	CauseHalted     = "halted"
+	CausePeers      = "peers"
+	CauseIncomplete = "incomplete"
+	CauseError      = "error"
+	CauseNoRoom     = "no_room"
+	CauseInUse      = "in_use"
+	CauseNoSuch     = "no_such"
+)
+
+// Commands to workers.
+const (
+	VerbRun   = "run"
+	VerbKill  = "kill"
+	VerbClear = "clear"
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb    string   `json:"verb"`
+	Task    string   `json:"spore"`
+	Attempt uint64   `json:"sprout"`
+	GraceS  *float64 `json:"wiltS,omitempty"`
+}
+
+// ReportAnswer answers a report.
+type ReportAnswer struct {
+	Term   uint64  `json:"warrant"`
+	Orders []Order `json:"orders"`
+}
+
+// Redirect answers a report that belongs elsewhere.
+type Redirect struct {
+	Steward string `json:"steward,omitempty"`
+}
+
+// Direct is a command sent straight to a worker.
+type Direct struct {
+	Term   uint64  `json:"warrant"`
+	Season uint64  `json:"season"`
+	Orders []Order `json:"orders"`
+}
--- /dev/null
+++ b/internal/block/slot.go
@@ -0,0 +1,204 @@
+package block
+
+import (
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+)
+
+// slotState is the state of a task's place on a machine.
+type slotState int
+
+const (
+	planned  slotState = iota // chosen, no start command sent
+	starting                  // a start command was sent and may be executed
+	present                   // the worker reports it, not exited
+	exited                    // the worker reports that it has ended
+	off                       // no longer on the machine, proven
+)
+
+func (s slotState) String() string {
+	return [...]string{"planned", "starting", "present", "exited", "off"}[s]
+}
+
+type slotKey struct {
+	task    core.TaskID
+	attempt core.Attempt
+}
+
+// slot is one attempt of a task on a machine. It is booked until it is off or
+// exited.
+type slot struct {
+	slotKey
+	state   slotState
+	machine *machine
+	team    string
+	need    placement.Need
+	view    string // state as reported
+	cause   string
+
+	sentAt     core.Time
+	sentSeason core.Season
+	sentTally  core.Tally
+
+	ends    core.Time // by estimate
+	stop    bool      // it is to be stopped
+	stopped core.Time // when the first stop was sent; 0: none
+	grace   float64
+	since   core.Time // when it was first seen running
+}
+
+func (s *slot) booked() bool { return s.state != exited && s.state != off }
+
+// machineState is the state of a machine as its holder sees it.
+type machineState int
+
+const (
+	booting machineState = iota // in the block, has not reported
+	unsure                      // may run tasks that we do not know of
+	live                        // accounted for and reporting
+	silent                      // accounted for, has not reported for a while
+	lapsed                      // its lease has surely run out; nothing is on it
+)
+
+func (s machineState) String() string {
+	return [...]string{"booting", "unsure", "live", "silent", "lapsed"}[s]
+}
+
+type machine struct {
+	id    core.MachineID
+	state machineState
+	addr  string
+	typ   string
+	zone  string
+	spot  bool
+	total placement.Need
+	up    bool // durable
+	asked bool
+	lost  bool
+	// leaving is the version of the block's record under which a write that
+	// releases the machine was sent; until the record has changed, that write
+	// may still be carried out, and nothing may be planned on the machine.
+	leaving core.Revision
+
+	season  core.Season
+	tally   core.Tally
+	floor   core.Season // reports of this season and before are dead
+	fenced  bool
+	asking  bool
+	joined  core.Time
+	heard   core.Time
+	answer  core.Time // last time at which a holder may have renewed its lease
+	notice  core.Time // when the cloud takes it; 0: no notice
+	idle    core.Time // since when nothing is booked; 0: something is
+	fails   int
+	shunned core.Time
+	images  map[string]bool
+	recent  []string
+	slots   map[slotKey]*slot
+}
+
+func (m *machine) booked() placement.Need {
+	var n placement.Need
+	for _, s := range m.slots {
+		if s.booked() {
+			n = n.Plus(s.need)
+		}
+	}
+	return n
+}
+
+func (m *machine) empty() bool {
+	for _, s := range m.slots {
+		if s.state != off {
+			return false
+		}
+	}
+	return true
+}
+
+const keptImages = 20
+
+func (m *machine) sawImage(image string) {
+	if m.images[image] {
+		return
+	}
+	m.images[image] = true
+	m.recent = append(m.recent, image)
+	if len(m.recent) > keptImages {
+		delete(m.images, m.recent[0])
+		m.recent = m.recent[1:]
+	}
+}
+
+// job is an unfinished job of a team of the block.
+type job struct {
+	id      core.JobID
+	at      core.Wall
+	spec    *api.Job
+	need    placement.Need
+	rank    int
+	done    core.Set // known done, durable or not
+	pending core.Set // done, not yet durable
+	slots   map[int]*slot
+	cursor  int   // tasks below are or were started, or done
+	again   []int // tasks below cursor that wait again
+	broken  bool  // gang: a member is gone; the rest has to go
+	avoid   map[core.MachineID]core.Time
+	fails   int
+	holdoff core.Time
+}
+
+func rankOf(r string) int {
+	switch r {
+	case api.RankProduction:
+		return 3
+	case api.RankHigh:
+		return 2
+	case api.RankStandard:
+		return 1
+	}
+	return 0
+}
+
+func (j *job) gang() bool { return j.spec.Form == api.FormGang }
+
+func (j *job) estimate() time.Duration { return core.Seconds(j.spec.EstimateS) }
+
+// waiting counts the tasks that neither are done nor have a slot.
+func (j *job) waiting() int { return j.spec.Tasks - j.done.Len() - j.live() }
+
+func (j *job) live() int {
+	n := 0
+	for i := range j.slots {
+		if !j.done.Has(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// next takes a waiting task.
+func (j *job) next() (int, bool) {
+	for len(j.again) > 0 {
+		i := j.again[0]
+		j.again = j.again[1:]
+		if !j.done.Has(i) && j.slots[i] == nil {
+			return i, true
+		}
+	}
+	for j.cursor < j.spec.Tasks {
+		i := j.done.NextMissing(j.cursor)
+		if i >= j.spec.Tasks {
+			j.cursor = j.spec.Tasks
+			break
+		}
+		j.cursor = i + 1
+		if j.slots[i] == nil {
+			return i, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,245 @@
+// Package capacity decides where machines belong and how many there should be:
+// which block a free machine goes to, which machines are asked back, and what
+// is rented and returned. It is pure: the time is handed in.
+package capacity
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+)
+
+// Job is an unfinished job, as far as capacity is concerned.
+type Job struct {
+	placement.Job
+	Block     int
+	Remaining int
+	Deadline  core.Wall // 0: none
+}
+
+// Machine is a machine of a block or of the pool.
+type Machine struct {
+	ID    core.MachineID
+	Type  string
+	Zone  string
+	Spot  bool
+	Block int // NoBlock: in the pool
+	Asked bool
+	Free  time.Duration // how long it has been in the pool
+}
+
+// NoBlock stands for the pool.
+const NoBlock = -1
+
+// Offer is a kind of machine that can be rented.
+type Offer struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Now      core.Wall
+	Jobs     []*Job
+	Machines []*Machine
+	Types    map[string]api.MachineType
+	TeamMax  map[string]float64
+	Closed   map[Offer]bool // kinds that were refused lately
+	Idle     time.Duration
+}
+
+// Rental is machines to be rented for a block.
+type Rental struct {
+	Offer
+	Block int
+	Count int
+}
+
+// Plan is what should be done.
+type Plan struct {
+	Assign map[core.MachineID]int // pool machines to blocks
+	Ask    []core.MachineID       // machines to be asked back from their blocks
+	Rent   []Rental
+	Return []core.MachineID
+}
+
+type room struct {
+	m     *Machine
+	free  placement.Need
+	block int // for whom it is claimed
+	used  bool
+}
+
+type planner struct {
+	in    Input
+	rooms []*room
+	plan  Plan
+	team  map[string]float64
+}
+
+// Make makes a plan: the unfinished jobs, oldest first, claim room on the
+// machines; what is left over or missing decides.
+func Make(in Input) Plan {
+	p := &planner{in: in, plan: Plan{Assign: map[core.MachineID]int{}}, team: map[string]float64{}}
+	for _, m := range in.Machines {
+		t, ok := in.Types[m.Type]
+		if !ok {
+			continue
+		}
+		p.rooms = append(p.rooms, &room{m: m, free: placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}, block: m.Block})
+	}
+	sort.SliceStable(p.rooms, func(a, b int) bool { return p.rooms[a].free.CPUs < p.rooms[b].free.CPUs })
+	jobs := append([]*Job{}, in.Jobs...)
+	sort.SliceStable(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		if x.Gang != y.Gang {
+			return x.Gang
+		}
+		if x.Rank != y.Rank {
+			return x.Rank > y.Rank
+		}
+		if x.At != y.At {
+			return x.At < y.At
+		}
+		return x.ID < y.ID
+	})
+	type unmet struct {
+		j *Job
+		n int
+	}
+	var open []unmet
+	for _, j := range jobs {
+		n := p.wants(j)
+		if n <= 0 {
+			continue
+		}
+		p.team[j.Team] += float64(n) * j.Need.CPUs
+		n -= p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+		if n > 0 && j.Gang {
+			n -= p.claim(j, n, func(r *room) bool { return r.block == NoBlock })
+			n -= p.claim(j, n, func(r *room) bool { return r.block != j.Block && !r.used })
+		}
+		if n > 0 {
+			open = append(open, unmet{j, n})
+		}
+	}
+	for i, u := range open {
+		open[i].n -= p.claim(u.j, u.n, func(r *room) bool { return r.block == u.j.Block })
+		open[i].n -= p.claim(u.j, open[i].n, func(r *room) bool { return r.block == NoBlock })
+		open[i].n -= p.claim(u.j, open[i].n, func(r *room) bool { return !r.used })
+	}
+	for _, u := range open {
+		if u.n > 0 {
+			p.rent(u.j, u.n)
+		}
+	}
+	for _, r := range p.rooms {
+		switch {
+		case r.m.Block == NoBlock && r.used && r.block != NoBlock:
+			p.plan.Assign[r.m.ID] = r.block
+		case r.m.Block == NoBlock && r.m.Free >= in.Idle:
+			p.plan.Return = append(p.plan.Return, r.m.ID)
+		case r.m.Block != NoBlock && r.used && r.block != r.m.Block && !r.m.Asked:
+			p.plan.Ask = append(p.plan.Ask, r.m.ID)
+		}
+	}
+	return p.plan
+}
+
+// wants tells how many tasks of a job should run at the same time.
+func (p *planner) wants(j *Job) int {
+	n := j.Remaining
+	if j.Gang {
+		if p.team[j.Team]+float64(n)*j.Need.CPUs > p.in.TeamMax[j.Team]+1e-6 {
+			return 0
+		}
+		return n
+	}
+	if j.Deadline > 0 && !j.Guaranteed {
+		left := float64(j.Deadline-p.in.Now)/1000*0.75 - 5
+		est := max(j.Estimate.Seconds(), 1)
+		if left > est {
+			n = min(n, int(math.Ceil(float64(n)/math.Floor(left/est))))
+		}
+	}
+	return min(n, int((p.in.TeamMax[j.Team]-p.team[j.Team]+1e-6)/j.Need.CPUs))
+}
+
+// claim takes room for up to n tasks on machines that suit, and tells how many.
+func (p *planner) claim(j *Job, n int, suits func(*room) bool) int {
+	got := 0
+	for _, r := range p.rooms {
+		if got >= n {
+			break
+		}
+		if !suits(r) || !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
+			continue
+		}
+		for got < n && j.Need.Fits(r.free) {
+			r.free = r.free.Minus(j.Need)
+			r.used, r.block = true, j.Block
+			got++
+		}
+	}
+	return got
+}
+
+// rent adds the cheapest machines that take n tasks of a job, and claims them.
+func (p *planner) rent(j *Job, n int) {
+	type choice struct {
+		o    Offer
+		fit  int
+		cost float64
+	}
+	var best *choice
+	for name, t := range p.in.Types {
+		total := placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+		fit := 0
+		for left := total; fit < n && j.Need.Fits(left); fit++ {
+			left = left.Minus(j.Need)
+		}
+		if fit == 0 {
+			continue
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				o := Offer{name, zone, spot}
+				if p.in.Closed[o] || !j.Allows(name, zone, spot) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				c := choice{o, fit, price / float64(fit)}
+				if best == nil || c.cost < best.cost-1e-9 || c.cost < best.cost+1e-9 && (c.o.Type+c.o.Zone < best.o.Type+best.o.Zone) {
+					best = &c
+				}
+			}
+		}
+	}
+	if best == nil {
+		return
+	}
+	t := p.in.Types[best.o.Type]
+	count := min((n+best.fit-1)/best.fit, 10)
+	for i := range count {
+		r := &room{
+			m:    &Machine{ID: core.MachineID("rented" + string(rune('0'+i))), Type: best.o.Type, Zone: best.o.Zone, Spot: best.o.Spot, Block: j.Block},
+			free: placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}, block: j.Block,
+		}
+		p.rooms = append(p.rooms, r)
+	}
+	p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+	for i := range p.plan.Rent {
+		if p.plan.Rent[i].Offer == best.o && p.plan.Rent[i].Block == j.Block {
+			p.plan.Rent[i].Count += count
+			return
+		}
+	}
+	p.plan.Rent = append(p.plan.Rent, Rental{best.o, j.Block, count})
+}
--- /dev/null
+++ b/internal/frontend/server.go
@@ -0,0 +1,130 @@
+// Package frontend serves users, workers and health checks over HTTP.
+package frontend
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/node"
+)
+
+// Server is the HTTP side of a node.
+type Server struct {
+	app  *fiber.App
+	loop *core.RealLoop
+	node *node.Node
+	log  *slog.Logger
+	seat chan struct{}
+}
+
+const (
+	answerWait  = 4500 * time.Millisecond
+	readTimeout = 10 * time.Second
+	idleTimeout = 60 * time.Second
+)
+
+// New makes a server that keeps at most conns connections.
+func New(loop *core.RealLoop, n *node.Node, log *slog.Logger, conns int) *Server {
+	s := &Server{loop: loop, node: n, log: log, seat: make(chan struct{}, 256)}
+	s.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             api.MaxBody,
+		Concurrency:           conns,
+		ReadTimeout:           readTimeout,
+		WriteTimeout:          readTimeout,
+		IdleTimeout:           idleTimeout,
+		ReadBufferSize:        8 << 10,
+		DisableDefaultDate:    true,
+		ErrorHandler:          failed,
+	})
+	s.app.Get("/ready", s.handle(false, func(c *fiber.Ctx) func(node.Reply) { return n.Ready }))
+	s.app.Post("/hello", s.handle(true, func(c *fiber.Ctx) func(node.Reply) {
+		body := append([]byte{}, c.Body()...)
+		return func(r node.Reply) { n.Hello(body, r) }
+	}))
+	s.app.Post("/work", s.handle(false, func(c *fiber.Ctx) func(node.Reply) {
+		body := append([]byte{}, c.Body()...)
+		return func(r node.Reply) { n.Submit(body, r) }
+	}))
+	s.app.Get("/work/:id", s.handle(false, func(c *fiber.Ctx) func(node.Reply) {
+		id := core.JobID(append([]byte{}, c.Params("id")...))
+		return func(r node.Reply) { n.Get(id, r) }
+	}))
+	s.app.Post("/work/:id/cancel", s.handle(false, func(c *fiber.Ctx) func(node.Reply) {
+		id := core.JobID(append([]byte{}, c.Params("id")...))
+		return func(r node.Reply) { n.Cancel(id, r) }
+	}))
+	return s
+}
+
+// failed answers what never reached a handler. A body that is too large or
+// cannot be read is the sender's mistake.
+func failed(c *fiber.Ctx, err error) error {
+	status := fiber.StatusInternalServerError
+	if e, ok := err.(*fiber.Error); ok {
+		status = e.Code
+	}
+	if status == fiber.StatusRequestEntityTooLarge {
+		status = fiber.StatusBadRequest
+	}
+	return c.Status(status).JSON(api.Error{Error: err.Error()})
+}
+
+// handle runs a request on the node's loop; reports go before all else.
+func (s *Server) handle(urgent bool, prepare func(*fiber.Ctx) func(node.Reply)) fiber.Handler {
+	return func(c *fiber.Ctx) error {
+		if !urgent {
+			select {
+			case s.seat <- struct{}{}:
+				defer func() { <-s.seat }()
+			default:
+				return busy(c)
+			}
+		}
+		work := prepare(c)
+		done := make(chan node.Answer, 1)
+		run := func() { work(func(a node.Answer) { done <- a }) }
+		post := s.loop.TryPost
+		if urgent {
+			post = s.loop.PostUrgent
+		}
+		if !post(run) {
+			return busy(c)
+		}
+		timer := time.NewTimer(answerWait)
+		defer timer.Stop()
+		select {
+		case a := <-done:
+			return write(c, a)
+		case <-timer.C:
+			return busy(c)
+		}
+	}
+}
+
+func busy(c *fiber.Ctx) error {
+	return write(c, node.Answer{Status: 503, Body: api.Error{Error: "overloaded"}, RetryAfter: time.Second})
+}
+
+func write(c *fiber.Ctx, a node.Answer) error {
+	if a.RetryAfter > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	}
+	raw, err := json.Marshal(a.Body)
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(a.Status).Send(raw)
+}
+
+// Serve answers requests that come to a listener.
+func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,726 @@
+// Package leader is what the elected controller does: it grants blocks, rents
+// and returns machines, and assigns them to blocks.
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"sort"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/capacity"
+	"lichenstair/internal/cloud"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+	"lichenstair/internal/state"
+)
+
+// Env is what a leader works with.
+type Env struct {
+	Loop   core.Loop
+	Log    *slog.Logger
+	Config *config.Config
+	Host   core.Host
+	Mirror *state.Mirror
+	State  *state.Client
+	Cloud  *cloud.Client
+}
+
+// Leader acts for one term.
+type Leader struct {
+	Env
+	record  state.Versioned[*state.Leader]
+	ended   bool
+	busy    bool
+	seq     int
+	again   core.Time
+	types   []api.MachineType
+	listing bool
+	listed  core.Time
+	asked   core.Time
+	list    map[core.MachineID]api.ListedMachine
+	closed  map[capacity.Offer]core.Time
+	free    map[core.MachineID]core.Time
+	sending map[core.MachineID]bool // returns in flight
+	done    map[core.MachineID]bool // returns answered 200, not yet written
+	rented  []state.Machine         // rented, not yet written
+	rentals int                     // in flight
+	stable  map[core.Host]core.Time
+}
+
+// New starts to lead under the record that the mirror shows.
+func New(env Env, record state.Versioned[*state.Leader]) *Leader {
+	l := &Leader{
+		Env: env, record: record, list: map[core.MachineID]api.ListedMachine{}, closed: map[capacity.Offer]core.Time{},
+		free: map[core.MachineID]core.Time{}, sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{},
+		stable: map[core.Host]core.Time{},
+	}
+	l.Log.Info("we lead", "term", record.Record.Term)
+	return l
+}
+
+// Version returns the version of the leader key under which it acts.
+func (l *Leader) Version() core.Revision { return l.record.Version }
+
+// End stops acting.
+func (l *Leader) End() {
+	l.ended = true
+	l.Log.Info("we no longer lead", "term", l.record.Record.Term)
+}
+
+const (
+	typesEvery = 60 * time.Second
+	closedFor  = 15 * time.Second
+	rebalance  = 1500 * time.Millisecond
+	maxReturns = 50
+)
+
+// Tick does what is due.
+func (l *Leader) Tick() {
+	if l.ended || !l.Mirror.Complete() {
+		return
+	}
+	l.askCloud()
+	l.act()
+}
+
+func (l *Leader) askCloud() {
+	now := l.Loop.Now()
+	if now >= l.asked {
+		l.asked = now.Add(typesEvery)
+		l.Cloud.Types(func(types []api.MachineType, ok bool) {
+			if !ok {
+				l.asked = l.Loop.Now().Add(2 * time.Second)
+				return
+			}
+			l.types = types
+			l.act()
+		})
+	}
+	if !l.listing && now >= l.listed {
+		l.listing = true
+		l.Cloud.List(func(ms []api.ListedMachine, ok bool) {
+			l.listing = false
+			l.listed = l.Loop.Now().Add(max(l.Config.CloudLim.ListLag, 3*time.Second))
+			if !ok || l.ended {
+				return
+			}
+			l.list = map[core.MachineID]api.ListedMachine{}
+			for _, m := range ms {
+				l.list[core.MachineID(m.ID)] = m
+			}
+			l.act()
+		})
+	}
+}
+
+// act composes the next transaction, if anything is to be written.
+func (l *Leader) act() {
+	now := l.Loop.Now()
+	if l.ended || l.busy || now < l.again {
+		return
+	}
+	t := api.Txn{If: []api.Condition{{Key: state.KeyLeader, Version: uint64(l.record.Version)}}}
+	for _, step := range []func(*api.Txn){l.found, l.grant, l.writeTypes, l.machines} {
+		if step(&t); len(t.Then) > 0 {
+			break
+		}
+	}
+	if len(t.Then) == 0 {
+		return
+	}
+	l.busy = true
+	l.State.Txn(t, func(r state.Result) {
+		next := func(bool) {
+			l.busy = false
+			l.act()
+		}
+		switch r.Outcome {
+		case state.Applied:
+			l.Mirror.Await(r.Revision, next)
+		case state.Refused:
+			l.again = l.Loop.Now().Add(500 * time.Millisecond)
+			next(false)
+		default:
+			l.Mirror.Fresh(func(ok bool) {
+				if !ok {
+					l.again = l.Loop.Now().Add(300 * time.Millisecond)
+				}
+				next(ok)
+			})
+		}
+	})
+}
+
+func set(key string, v any) api.Change {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // our own records always can be written as JSON
+	}
+	return api.Change{Set: key, Value: raw}
+}
+
+// draw takes the next n terms from the counter; the first is returned.
+func (l *Leader) draw(t *api.Txn, n int) core.Term {
+	c := l.Mirror.Term
+	t.If = append(t.If, api.Condition{Key: state.KeyTerm, Version: uint64(c.Version)})
+	t.Then = append(t.Then, set(state.KeyTerm, state.TermCounter{Last: c.Record.Last + core.Term(n)}))
+	return c.Record.Last + 1
+}
+
+func (l *Leader) setBlock(t *api.Txn, b *state.Block) {
+	key := state.KeyBlock(b.Number)
+	t.If = append(t.If, api.Condition{Key: key, Version: uint64(l.Mirror.Blocks[b.Number].Version)})
+	t.Then = append(t.Then, set(key, b))
+}
+
+func (l *Leader) setPool(t *api.Txn, p *state.Pool) {
+	t.If = append(t.If, api.Condition{Key: state.KeyPool, Version: uint64(l.Mirror.Pool.Version)})
+	t.Then = append(t.Then, set(state.KeyPool, p))
+}
+
+// live lists the controllers with a tenure, those with fewest blocks first.
+func (l *Leader) live() []state.Member {
+	count := map[core.Host]int{}
+	for _, b := range l.Mirror.Blocks {
+		if l.holds(b.Record) {
+			count[b.Record.Holder]++
+		}
+	}
+	var out []state.Member
+	for _, m := range l.Mirror.Members {
+		out = append(out, m.Record)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if count[out[a].Host] != count[out[b].Host] {
+			return count[out[a].Host] < count[out[b].Host]
+		}
+		return out[a].Host < out[b].Host
+	})
+	return out
+}
+
+// holds tells whether a block's holder still has the tenure of its grant.
+func (l *Leader) holds(b *state.Block) bool {
+	m, ok := l.Mirror.Members[b.Holder]
+	return ok && m.Record.Tenure == b.Tenure
+}
+
+// found creates the blocks, and gives teams that are new to a block.
+func (l *Leader) found(t *api.Txn) {
+	teams := append([]config.Team{}, l.Config.Teams...)
+	sort.SliceStable(teams, func(a, b int) bool { return teams[a].CPUs > teams[b].CPUs })
+	weight := map[int]float64{}
+	known := map[string]bool{}
+	out := map[int]*state.Block{}
+	if len(l.Mirror.Blocks) == 0 {
+		n := min(l.Config.Operator.Blocks, l.Config.StateLim.TxnOps-4, len(teams))
+		live := l.live()
+		if len(live) == 0 {
+			return
+		}
+		first := l.draw(t, n)
+		for i := range n {
+			m := live[i%len(live)]
+			out[i] = &state.Block{Number: i, Holder: m.Host, Tenure: m.Tenure, Term: first + core.Term(i), Granted: first + core.Term(i), Machines: []state.Machine{}}
+		}
+		if l.Mirror.Pool.Version == 0 {
+			l.setPool(t, &state.Pool{Machines: []state.Machine{}})
+		}
+	}
+	numbers := []int{}
+	for n, b := range l.Mirror.Blocks {
+		numbers = append(numbers, n)
+		for _, name := range b.Record.Teams {
+			known[name] = true
+			for _, team := range teams {
+				if team.Name == name {
+					weight[n] += team.CPUs
+				}
+			}
+		}
+	}
+	for n := range out {
+		numbers = append(numbers, n)
+	}
+	sort.Ints(numbers)
+	for _, team := range teams {
+		if known[team.Name] || len(numbers) == 0 {
+			continue
+		}
+		least := numbers[0]
+		for _, n := range numbers {
+			if weight[n] < weight[least] {
+				least = n
+			}
+		}
+		if out[least] == nil {
+			out[least] = l.Mirror.Blocks[least].Record.Clone()
+		}
+		out[least].Teams = append(append([]string{}, out[least].Teams...), team.Name)
+		weight[least] += team.CPUs
+	}
+	for _, n := range numbers {
+		if out[n] != nil {
+			l.setBlock(t, out[n])
+		}
+	}
+}
+
+// grant gives blocks without a live holder to a live controller, and spreads
+// them again once a controller has been back for a moment.
+func (l *Leader) grant(t *api.Txn) {
+	now := l.Loop.Now()
+	live := l.live()
+	for _, m := range live {
+		if _, ok := l.stable[m.Host]; !ok {
+			l.stable[m.Host] = now
+		}
+	}
+	for h := range l.stable {
+		if _, ok := l.Mirror.Members[h]; !ok {
+			delete(l.stable, h)
+		}
+	}
+	if len(live) == 0 {
+		return
+	}
+	count := map[core.Host]int{}
+	var numbers []int
+	for n, b := range l.Mirror.Blocks {
+		numbers = append(numbers, n)
+		if l.holds(b.Record) {
+			count[b.Record.Holder]++
+		}
+	}
+	sort.Ints(numbers)
+	fewest := func() state.Member {
+		best := live[0]
+		for _, m := range live {
+			if count[m.Host] < count[best.Host] {
+				best = m
+			}
+		}
+		return best
+	}
+	var moves []*state.Block
+	for _, n := range numbers {
+		b := l.Mirror.Blocks[n].Record
+		if l.holds(b) || len(moves) >= (l.Config.StateLim.TxnOps-2) {
+			continue
+		}
+		to := fewest()
+		c := b.Clone()
+		c.Holder, c.Tenure = to.Host, to.Tenure
+		count[to.Host]++
+		moves = append(moves, c)
+	}
+	if len(moves) == 0 {
+		to := fewest()
+		for _, n := range numbers {
+			b := l.Mirror.Blocks[n].Record
+			if count[b.Holder] >= count[to.Host]+2 && now.Sub(l.stable[to.Host]) > rebalance {
+				c := b.Clone()
+				c.Holder, c.Tenure = to.Host, to.Tenure
+				moves = append(moves, c)
+				break
+			}
+		}
+	}
+	if len(moves) == 0 {
+		return
+	}
+	first := l.draw(t, len(moves))
+	for i, b := range moves {
+		l.Log.Info("granting block", "block", b.Number, "from", l.Mirror.Blocks[b.Number].Record.Holder, "to", b.Holder, "term", first+core.Term(i))
+		b.Term, b.Granted = first+core.Term(i), first+core.Term(i)
+		l.setBlock(t, b)
+	}
+}
+
+// writeTypes keeps a durable copy of the machine types, so that nodes know
+// them even while the cloud does not answer.
+func (l *Leader) writeTypes(t *api.Txn) {
+	if l.types == nil {
+		return
+	}
+	have := map[string]api.MachineType{}
+	for n, typ := range l.Mirror.Types.Record {
+		typ.SpotPrice = 0
+		have[n] = typ
+	}
+	want := map[string]api.MachineType{}
+	for _, typ := range l.types {
+		typ.SpotPrice = 0
+		want[typ.Name] = typ
+	}
+	if reflect.DeepEqual(have, want) {
+		return
+	}
+	t.If = append(t.If, api.Condition{Key: state.KeyTypes, Version: uint64(l.Mirror.Types.Version)})
+	t.Then = append(t.Then, set(state.KeyTypes, l.types))
+}
+
+func (l *Leader) priced() map[string]api.MachineType {
+	if l.types == nil {
+		return l.Mirror.Types.Record
+	}
+	out := map[string]api.MachineType{}
+	for _, t := range l.types {
+		out[t.Name] = t
+	}
+	return out
+}
+
+// machines brings the pool and the blocks' machines to what the cloud lists
+// and what the plan wants.
+func (l *Leader) machines(t *api.Txn) {
+	now, wall := l.Loop.Now(), l.Loop.Wall()
+	pool := l.Mirror.Pool.Record.Clone()
+	poolChanged := false
+	out := map[int]*state.Block{}
+	edit := func(n int) *state.Block {
+		if out[n] == nil {
+			out[n] = l.Mirror.Blocks[n].Record.Clone()
+		}
+		return out[n]
+	}
+	inBlock := map[core.MachineID]int{}
+	for n, b := range l.Mirror.Blocks {
+		for _, m := range b.Record.Machines {
+			inBlock[m.ID] = n
+		}
+	}
+	// Returns that the cloud has confirmed.
+	for id := range l.done {
+		i := pool.Find(id)
+		_, held := inBlock[id]
+		switch {
+		case i >= 0 && pool.Machines[i].Fate == state.Gone:
+			delete(l.done, id)
+		case i >= 0:
+			pool.Machines[i].Fate, pool.Machines[i].Since = state.Gone, wall
+			poolChanged = true
+		case held:
+			pool.Machines = append(pool.Machines, state.Machine{ID: id, Fate: state.Gone, Since: wall})
+			poolChanged = true
+		default:
+			delete(l.done, id)
+		}
+	}
+	// Machines that are gone stay in the pool while the list may still name them.
+	keep := pool.Machines[:0]
+	for _, m := range pool.Machines {
+		if _, held := inBlock[m.ID]; m.Fate == state.Gone && !held && wall-m.Since > core.Wall(3*l.Config.CloudLim.ListLag.Milliseconds()+20000) {
+			poolChanged = true
+			continue
+		}
+		keep = append(keep, m)
+	}
+	pool.Machines = keep
+	l.lookAtList(pool, inBlock, &poolChanged)
+	// Machines rented.
+	still := l.rented[:0]
+	for _, m := range l.rented {
+		if _, held := inBlock[m.ID]; held || pool.Find(m.ID) >= 0 {
+			continue
+		}
+		still = append(still, m)
+		pool.Machines = append(pool.Machines, m)
+		poolChanged = true
+	}
+	l.rented = still
+	plan := l.plan(pool, now, wall)
+	ids := make([]core.MachineID, 0, len(plan.Assign))
+	for id := range plan.Assign {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	raise := map[int]bool{}
+	for _, id := range ids {
+		n := plan.Assign[id]
+		i := pool.Find(id)
+		if i < 0 || l.Mirror.Blocks[n].Record == nil {
+			continue
+		}
+		b := edit(n)
+		if b.Size()+170 > l.Config.StateLim.ValueBytes {
+			continue
+		}
+		m := pool.Machines[i]
+		if m.Seen >= b.Term {
+			raise[n] = true
+		}
+		m.Seen, m.Up, m.Asked, m.Lost = 0, false, false, false
+		b.Machines = append(b.Machines, m)
+		pool.Machines = append(pool.Machines[:i], pool.Machines[i+1:]...)
+		poolChanged = true
+		l.Log.Info("machine goes to a block", "machine", id, "type", m.Type, "block", n)
+	}
+	for _, id := range plan.Ask {
+		n := inBlock[id]
+		if i := edit(n).Find(id); i >= 0 {
+			out[n].Machines[i].Asked = true
+			l.Log.Info("machine is asked back", "machine", id, "block", n)
+		}
+	}
+	for _, id := range plan.Return {
+		if i := pool.Find(id); i >= 0 && pool.Machines[i].Fate == state.Free {
+			pool.Machines[i].Fate = state.Returning
+			poolChanged = true
+			l.Log.Info("machine is returned", "machine", id, "type", pool.Machines[i].Type)
+		}
+	}
+	if len(raise) > 0 {
+		first := l.draw(t, len(raise))
+		k := core.Term(0)
+		for _, n := range sortedKeys(raise) {
+			out[n].Term = first + k
+			k++
+		}
+	}
+	for _, n := range sortedKeys(out) {
+		l.setBlock(t, out[n])
+	}
+	if poolChanged {
+		l.setPool(t, pool)
+	}
+	l.returnMarked()
+	l.rent(plan.Rent)
+}
+
+func sortedKeys[V any](m map[int]V) []int {
+	out := make([]int, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Ints(out)
+	return out
+}
+
+// lookAtList adopts machines that nobody knows of, and gives back failed ones.
+func (l *Leader) lookAtList(pool *state.Pool, inBlock map[core.MachineID]int, changed *bool) {
+	ids := make([]core.MachineID, 0, len(l.list))
+	for id := range l.list {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	for _, id := range ids {
+		m := l.list[id]
+		_, held := inBlock[id]
+		i := pool.Find(id)
+		if m.Phase == api.MachineFailed {
+			if i < 0 || pool.Machines[i].Fate != state.Gone {
+				l.sendBack(id)
+			}
+			continue
+		}
+		if held || i >= 0 || l.done[id] || l.sending[id] || l.pendingRent(id) {
+			continue
+		}
+		pool.Machines = append(pool.Machines, state.Machine{
+			ID: id, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Since: l.Loop.Wall() - core.Wall(m.AgeS*1000), Seen: l.Mirror.Term.Record.Last,
+		})
+		*changed = true
+		l.Log.Info("machine adopted", "machine", id, "type", m.Type, "phase", m.Phase)
+	}
+}
+
+func (l *Leader) pendingRent(id core.MachineID) bool {
+	for _, m := range l.rented {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// returnMarked sends back machines whose return is durable: those of the pool
+// marked so, and those that a holder has given up.
+func (l *Leader) returnMarked() {
+	for _, m := range l.Mirror.Pool.Record.Machines {
+		if m.Fate == state.Returning {
+			l.sendBack(m.ID)
+		}
+	}
+	for _, b := range l.Mirror.Blocks {
+		for _, m := range b.Record.Machines {
+			if m.Lost {
+				if i := l.Mirror.Pool.Record.Find(m.ID); i < 0 || l.Mirror.Pool.Record.Machines[i].Fate != state.Gone {
+					l.sendBack(m.ID)
+				}
+			}
+		}
+	}
+}
+
+func (l *Leader) sendBack(id core.MachineID) {
+	if l.sending[id] || l.done[id] || len(l.sending) >= maxReturns {
+		return
+	}
+	l.sending[id] = true
+	if len(l.sending) > 1 {
+		return // goes with the batch
+	}
+	l.Loop.After(200*time.Millisecond, func() {
+		var names []string
+		for id := range l.sending {
+			names = append(names, string(id))
+		}
+		sort.Strings(names)
+		if l.ended {
+			return
+		}
+		l.Cloud.Return(names, func(ok bool) {
+			for _, id := range names {
+				delete(l.sending, core.MachineID(id))
+				if ok {
+					l.done[core.MachineID(id)] = true
+				}
+			}
+			if !ok {
+				l.again = l.Loop.Now().Add(time.Second)
+			}
+			l.act()
+		})
+	})
+}
+
+// Saw notes a machine that reports though no block has it.
+func (l *Leader) Saw(rep *api.Report) {
+	id := core.MachineID(rep.Machine)
+	if _, known := l.list[id]; known || l.ended {
+		return
+	}
+	l.list[id] = api.ListedMachine{ID: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot, Phase: api.MachineRunning}
+	l.act()
+}
+
+// plan asks the capacity package what should be where.
+func (l *Leader) plan(pool *state.Pool, now core.Time, wall core.Wall) capacity.Plan {
+	in := capacity.Input{Now: wall, Types: l.priced(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
+	for o, until := range l.closed {
+		if until > now {
+			in.Closed[o] = true
+		} else {
+			delete(l.closed, o)
+		}
+	}
+	guaranteed := map[string]float64{}
+	for _, t := range l.Config.Teams {
+		in.TeamMax[t.Name], guaranteed[t.Name] = t.CPUsMax, t.CPUs
+	}
+	inPool := map[core.MachineID]bool{}
+	for _, m := range pool.Machines {
+		if m.Fate != state.Free {
+			continue
+		}
+		inPool[m.ID] = true
+		if l.free[m.ID] == 0 {
+			l.free[m.ID] = now
+		}
+		in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: capacity.NoBlock, Free: now.Sub(l.free[m.ID])})
+	}
+	for id := range l.free {
+		if !inPool[id] {
+			delete(l.free, id)
+		}
+	}
+	for _, n := range sortedKeys(l.Mirror.Blocks) {
+		for _, m := range l.Mirror.Blocks[n].Record.Machines {
+			if i := pool.Find(m.ID); m.Lost || i >= 0 && pool.Machines[i].Fate != state.Free {
+				continue
+			}
+			in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: n, Asked: m.Asked})
+		}
+	}
+	var jobs []*capacity.Job
+	for id, e := range l.Mirror.Jobs {
+		if e.Over() || e.Spec == nil {
+			continue
+		}
+		n, ok := l.Mirror.TeamBlock(e.Team)
+		if !ok {
+			continue
+		}
+		j := &capacity.Job{Block: n, Remaining: e.Tasks - e.Done.Len()}
+		j.ID, j.Team, j.At, j.Need = id, e.Team, e.At, placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB}
+		j.Gang, j.Tasks, j.Types, j.Spot = e.Spec.Form == api.FormGang, e.Tasks, e.Spec.Types, e.Spec.Spot
+		j.Estimate = core.Seconds(e.Spec.EstimateS)
+		j.Rank = rank(e.Spec.Rank)
+		if e.Spec.Zone != nil {
+			j.Zone = *e.Spec.Zone
+		}
+		if e.Spec.DeadlineS != nil {
+			j.Deadline = e.At + core.Wall(*e.Spec.DeadlineS*1000)
+		}
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool {
+		if jobs[a].At != jobs[b].At {
+			return jobs[a].At < jobs[b].At
+		}
+		return jobs[a].ID < jobs[b].ID
+	})
+	sum := map[string]float64{}
+	for _, j := range jobs {
+		sum[j.Team] += j.Need.CPUs * float64(j.Remaining)
+		j.Guaranteed = sum[j.Team] <= guaranteed[j.Team]
+	}
+	in.Jobs = jobs
+	return capacity.Make(in)
+}
+
+func rank(r string) int {
+	switch r {
+	case api.RankProduction:
+		return 3
+	case api.RankHigh:
+		return 2
+	case api.RankStandard:
+		return 1
+	}
+	return 0
+}
+
+// rent sends the rentals of a plan; until they are answered, no more are sent.
+func (l *Leader) rent(rentals []capacity.Rental) {
+	if l.rentals > 0 || len(l.rented) > 0 || l.types == nil {
+		return
+	}
+	for _, r := range rentals {
+		if l.rentals >= 3 {
+			return
+		}
+		l.seq++
+		l.send(api.Rental{
+			Request: fmt.Sprintf("t%d-%d", l.record.Record.Term, l.seq), Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(r.Count, 50),
+		}, r, 0)
+	}
+}
+
+func (l *Leader) send(req api.Rental, r capacity.Rental, tries int) {
+	if tries == 0 {
+		l.rentals++
+	}
+	l.Cloud.Rent(req, func(ids []string, out cloud.RentOutcome) {
+		if out == cloud.Unanswered && tries < 3 && !l.ended {
+			l.send(req, r, tries+1) // the same request again brings the same answer
+			return
+		}
+		l.rentals--
+		l.Log.Info("rental answered", "request", req.Request, "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", req.Count, "got", len(ids), "outcome", int(out))
+		if out != cloud.Rented || len(ids) < req.Count {
+			l.closed[r.Offer] = l.Loop.Now().Add(closedFor)
+		}
+		for _, id := range ids {
+			l.rented = append(l.rented, state.Machine{ID: core.MachineID(id), Type: req.Type, Zone: req.Zone, Spot: req.Spot, Since: l.Loop.Wall()})
+		}
+		l.act()
+	})
+}
--- /dev/null
+++ b/internal/node/answers.go
@@ -0,0 +1,342 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+	"lichenstair/internal/state"
+)
+
+// Answer is what a request is answered with.
+type Answer struct {
+	Status     int
+	Body       any
+	RetryAfter time.Duration
+}
+
+// Reply hands over the answer, exactly once.
+type Reply func(Answer)
+
+const (
+	createWait  = 3 * time.Second
+	maxCreates  = 200
+	createBytes = 48 << 10
+)
+
+func refuse(status int, why, field string) Answer {
+	return Answer{Status: status, Body: api.Error{Error: why, Field: field}}
+}
+
+// later asks the user to come back.
+func (n *Node) later(why string) Answer {
+	return Answer{Status: 503, Body: api.Error{Error: why}, RetryAfter: n.cfg.Operator.RetryAfter}
+}
+
+// Ready answers health checks.
+func (n *Node) Ready(reply Reply) {
+	if !n.mirror.Complete() || len(n.types()) == 0 {
+		reply(n.later("starting"))
+		return
+	}
+	reply(Answer{Status: 200, Body: struct{}{}})
+}
+
+// status describes a job as the mirror shows it.
+func (n *Node) status(id core.JobID, e *state.JobEntry) api.JobStatus {
+	s := api.JobStatus{ID: string(id)}
+	switch e.Phase {
+	case state.JobDone:
+		s.Phase, s.Done = api.PhaseDone, e.Tasks
+	case state.JobCancelled:
+		s.Phase = api.PhaseCancelled
+	default:
+		s.Phase, s.Done = api.PhaseQueued, min(e.Done.Len(), e.Tasks-1)
+		for _, h := range n.holders {
+			s.Running += h.Running(id)
+		}
+		if s.Running > 0 {
+			s.Phase = api.PhaseRunning
+		}
+	}
+	return s
+}
+
+// Get answers a poll. What is over stays as it is; anything else is answered
+// only once the mirror is proven to be up to date.
+func (n *Node) Get(id core.JobID, reply Reply) {
+	if e := n.mirror.Jobs[id]; e != nil && e.Over() {
+		reply(Answer{Status: 200, Body: n.status(id, e)})
+		return
+	}
+	if !api.ValidJobID(string(id)) {
+		reply(refuse(404, "no such job", ""))
+		return
+	}
+	n.fresh(reply, func() {
+		if e := n.mirror.Jobs[id]; e != nil {
+			reply(Answer{Status: 200, Body: n.status(id, e)})
+			return
+		}
+		reply(refuse(404, "no such job", ""))
+	})
+}
+
+// fresh goes on once the mirror is proven up to date, or refuses.
+func (n *Node) fresh(reply Reply, then func()) {
+	if !n.mirror.Complete() {
+		reply(n.later("starting"))
+		return
+	}
+	n.mirror.Fresh(func(ok bool) {
+		if !ok {
+			reply(n.later("the state service does not answer"))
+			return
+		}
+		then()
+	})
+}
+
+// create is a submission on its way to the state service.
+type create struct {
+	id    core.JobID
+	raw   []byte
+	due   core.Time
+	reply Reply
+}
+
+// Submit takes a job.
+func (n *Node) Submit(body []byte, reply Reply) {
+	j, err := api.ParseJob(body)
+	if err != nil {
+		var fe *api.FieldError
+		if errors.As(err, &fe) {
+			reply(refuse(400, fe.Problem, fe.Field))
+		} else {
+			reply(refuse(400, err.Error(), ""))
+		}
+		return
+	}
+	id := core.JobID(j.ID)
+	if !n.mirror.Complete() || len(n.types()) == 0 {
+		reply(n.later("machine types are not known yet"))
+		return
+	}
+	if n.mirror.Jobs[id] != nil {
+		n.Get(id, reply)
+		return
+	}
+	if why, field := n.impossible(&j); why != "" {
+		n.fresh(reply, func() {
+			if e := n.mirror.Jobs[id]; e != nil {
+				reply(Answer{Status: 200, Body: n.status(id, e)})
+				return
+			}
+			reply(refuse(422, why, field))
+		})
+		return
+	}
+	n.trim(&j)
+	raw, err := json.Marshal(state.Job{
+		Phase: state.JobAccepted, Tasks: j.Tasks, At: n.loop.Wall(), Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Spec: &j,
+	})
+	if err != nil || len(raw) > n.cfg.StateLim.ValueBytes {
+		reply(refuse(400, "job description too large", ""))
+		return
+	}
+	if len(n.creates) >= maxCreates {
+		reply(Answer{Status: 429, Body: api.Error{Error: "too many submissions"}, RetryAfter: n.cfg.Operator.RetryAfter})
+		return
+	}
+	n.creates = append(n.creates, &create{id, raw, n.loop.Now().Add(createWait), reply})
+	n.commit()
+}
+
+// trim keeps of the allowed types those that exist, so that the record stays small.
+func (n *Node) trim(j *api.Job) {
+	if j.Types == nil {
+		return
+	}
+	kept := []string{}
+	seen := map[string]bool{}
+	for _, t := range j.Types {
+		if _, ok := n.types()[t]; ok && !seen[t] {
+			kept, seen[t] = append(kept, t), true
+		}
+	}
+	j.Types = kept
+}
+
+// impossible tells why a job can never run, or nothing.
+func (n *Node) impossible(j *api.Job) (why, field string) {
+	need := placement.Need{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+	p := placement.Job{Types: j.Types}
+	fits := false
+	for name, t := range n.types() {
+		for _, zone := range t.Zones {
+			if (j.Zone == nil || *j.Zone == zone) && p.Allows(name, zone, false) && need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) {
+				fits = true
+			}
+		}
+	}
+	tasks := 1.0
+	if j.Form == api.FormGang {
+		tasks = float64(j.Tasks)
+	}
+	for _, t := range n.cfg.Teams {
+		if t.Name != j.Team {
+			continue
+		}
+		switch {
+		case !fits:
+			return "a task fits no allowed machine type", "cpus"
+		case need.CPUs*tasks > t.CPUsMax+1e-9 || need.GPUs*tasks > t.GPUsMax+1e-9:
+			return "more than the team may use", "cpus"
+		}
+		return "", ""
+	}
+	return "unknown team", "crew"
+}
+
+// commit writes waiting submissions, many in one transaction, one transaction
+// at a time.
+func (n *Node) commit() {
+	if n.creating || len(n.creates) == 0 {
+		return
+	}
+	t := api.Txn{}
+	size := 0
+	var batch []*create
+	seen := map[core.JobID]bool{}
+	for len(n.creates) > 0 && len(batch) < min(n.cfg.StateLim.TxnOps, int(n.cfg.StateLim.WriteRPS/float64(n.cfg.Nodes)/2)+1) {
+		c := n.creates[0]
+		if size += len(c.raw) + 200; size > createBytes && len(batch) > 0 || seen[c.id] {
+			break
+		}
+		seen[c.id] = true
+		n.creates = n.creates[1:]
+		batch = append(batch, c)
+		t.If = append(t.If, api.Condition{Key: state.KeyJob(c.id)})
+		t.Then = append(t.Then, api.Change{Set: state.KeyJob(c.id), Value: c.raw})
+	}
+	n.creating = true
+	n.state.Txn(t, func(r state.Result) {
+		n.creating = false
+		switch r.Outcome {
+		case state.Applied:
+			for _, c := range batch {
+				c.reply(Answer{Status: 201, Body: api.JobStatus{ID: string(c.id), Phase: api.PhaseQueued}})
+			}
+		case state.Conflict, state.Unknown:
+			// Some are there already, or all may be: look before deciding.
+			n.settle(batch)
+		default:
+			for _, c := range batch {
+				c.reply(n.later("the state service does not take changes"))
+			}
+		}
+		n.commit()
+	})
+}
+
+// settle looks which of a batch exist, and tries the others again.
+func (n *Node) settle(batch []*create) {
+	n.mirror.Fresh(func(ok bool) {
+		for _, c := range batch {
+			e := n.mirror.Jobs[c.id]
+			switch {
+			case ok && e != nil:
+				c.reply(Answer{Status: 200, Body: n.status(c.id, e)})
+			case !ok || n.loop.Now() > c.due:
+				c.reply(n.later("the state service does not answer"))
+			default:
+				n.creates = append(n.creates, c)
+			}
+		}
+		n.commit()
+	})
+}
+
+// Cancel cancels a job.
+func (n *Node) Cancel(id core.JobID, reply Reply) { n.cancel(id, reply, 0) }
+
+func (n *Node) cancel(id core.JobID, reply Reply, tries int) {
+	if !api.ValidJobID(string(id)) {
+		reply(refuse(404, "no such job", ""))
+		return
+	}
+	if tries >= 6 {
+		reply(n.later("the job keeps changing"))
+		return
+	}
+	n.fresh(reply, func() {
+		e := n.mirror.Jobs[id]
+		switch {
+		case e == nil:
+			reply(refuse(404, "no such job", ""))
+			return
+		case e.Over():
+			reply(Answer{Status: 200, Body: n.status(id, e)})
+			return
+		}
+		raw, _ := json.Marshal(e.Job.End(state.JobCancelled))
+		t := api.Txn{
+			If:   []api.Condition{{Key: state.KeyJob(id), Version: uint64(e.Version)}},
+			Then: []api.Change{{Set: state.KeyJob(id), Value: raw}},
+		}
+		n.state.Txn(t, func(r state.Result) {
+			switch r.Outcome {
+			case state.Applied:
+				reply(Answer{Status: 200, Body: api.JobStatus{ID: string(id), Phase: api.PhaseCancelled}})
+			case state.Refused, state.NoTenure:
+				reply(n.later("the state service does not take changes"))
+			default:
+				n.cancel(id, reply, tries+1)
+			}
+		})
+	})
+}
+
+// Hello answers a worker's report.
+func (n *Node) Hello(body []byte, reply Reply) {
+	var rep api.Report
+	if json.Unmarshal(body, &rep) != nil || rep.Machine == "" || rep.Season == 0 || rep.Addr == "" || rep.Type == "" {
+		reply(refuse(400, "not a report", ""))
+		return
+	}
+	if !n.mirror.Complete() {
+		reply(n.later("starting"))
+		return
+	}
+	id := core.MachineID(rep.Machine)
+	num, ok := n.mirror.MachineBlock(id)
+	if !ok {
+		if n.leader != nil {
+			n.leader.Saw(&rep)
+			reply(refuse(503, "the machine belongs to no block yet", ""))
+			return
+		}
+		to := ""
+		if l := n.mirror.Leader.Record; l != nil && l.Host != n.cfg.Host {
+			to = string(l.Host)
+		}
+		reply(Answer{Status: 421, Body: api.Redirect{Steward: to}})
+		return
+	}
+	if h := n.holders[num]; h != nil {
+		if a, ok := h.Report(&rep); ok {
+			reply(Answer{Status: 200, Body: a})
+			return
+		}
+		reply(Answer{Status: 421, Body: api.Redirect{}})
+		return
+	}
+	to := n.mirror.Blocks[num].Record.Holder
+	if to == n.cfg.Host {
+		to = ""
+	}
+	reply(Answer{Status: 421, Body: api.Redirect{Steward: string(to)}})
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,256 @@
+// Package node puts the parts of a controller together: its membership, the
+// election, the blocks it holds, and the answers to users and workers.
+package node
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/block"
+	"lichenstair/internal/cloud"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+	"lichenstair/internal/leader"
+	"lichenstair/internal/state"
+	"lichenstair/internal/worker"
+)
+
+// membership is where a node stands with the state service.
+type membership int
+
+const (
+	outside membership = iota // has no tenure
+	joining                   // asks for a tenure and writes its member key
+	member                    // holds a tenure
+)
+
+func (m membership) String() string { return [...]string{"outside", "joining", "member"}[m] }
+
+// Node is one controller.
+type Node struct {
+	cfg     *config.Config
+	loop    core.Loop
+	log     *slog.Logger
+	rnd     *rand.Rand
+	state   *state.Client
+	mirror  *state.Mirror
+	cloud   *cloud.Client
+	workers *worker.Client
+
+	membership membership
+	tenure     core.Tenure
+	renewedAt  core.Time
+	renewing   bool
+	electing   bool
+	leader     *leader.Leader
+	holders    map[int]*block.Holder
+
+	creates  []*create
+	creating bool
+	stopped  bool
+}
+
+const (
+	tick       = 200 * time.Millisecond
+	indexEvery = time.Second
+)
+
+// New makes a node; Start begins its work.
+func New(cfg *config.Config, loop core.Loop, call core.Caller, log *slog.Logger, rnd *rand.Rand) *Node {
+	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, holders: map[int]*block.Holder{}}
+	n.state = state.NewClient(loop, call, cfg.State, cfg.StateLim, cfg.Nodes)
+	n.mirror = state.NewMirror(loop, n.state, log)
+	n.cloud = cloud.NewClient(loop, call, cfg.Cloud, cfg.CloudLim)
+	n.workers = worker.NewClient(call)
+	n.mirror.Changed = n.changed
+	return n
+}
+
+// Start begins the node's work.
+func (n *Node) Start() {
+	n.mirror.Start()
+	n.loop.After(tick, n.tick)
+	n.index()
+}
+
+// Stop ends the node's work; a stopped node does nothing more.
+func (n *Node) Stop() { n.stopped = true }
+
+// index proves, over and over, how far the mirror is up to date.
+func (n *Node) index() {
+	if n.stopped {
+		return
+	}
+	if n.mirror.Complete() {
+		n.mirror.Fresh(func(bool) {})
+	}
+	n.loop.After(indexEvery, n.index)
+}
+
+func (n *Node) tick() {
+	if n.stopped {
+		return
+	}
+	n.loop.After(tick, n.tick)
+	n.join()
+	n.elect()
+	if n.leader != nil {
+		n.leader.Tick()
+	}
+	for _, h := range n.holders {
+		h.Tick()
+	}
+}
+
+// become is the one place where the node's membership changes.
+func (n *Node) become(m membership) {
+	if m != n.membership {
+		n.log.Info("membership changes", "from", n.membership.String(), "to", m.String(), "tenure", n.tenure)
+	}
+	n.membership = m
+	if m == outside {
+		n.tenure = 0
+	}
+}
+
+// join keeps the node's tenure. A tenure left over from before a restart is
+// ended at once, so that its blocks need not wait for it to run out.
+func (n *Node) join() {
+	if !n.mirror.Complete() {
+		return
+	}
+	switch n.membership {
+	case outside:
+		n.become(joining)
+		again := func() { n.loop.After(300*time.Millisecond, func() { n.become(outside) }) }
+		start := func() {
+			n.state.Grant(n.cfg.Operator.Tenure, func(t core.Tenure) {
+				if t == 0 {
+					again()
+					return
+				}
+				n.tenure, n.renewedAt = t, n.loop.Now()
+				n.register(again)
+			})
+		}
+		old, ok := n.mirror.Members[n.cfg.Host]
+		if !ok {
+			start()
+			return
+		}
+		n.log.Info("ending the tenure of our former process", "tenure", old.Record.Tenure)
+		n.state.End(old.Record.Tenure, func(ok bool) {
+			if !ok {
+				again()
+				return
+			}
+			start()
+		})
+	case member:
+		if n.renewing || n.loop.Now().Sub(n.renewedAt) < n.cfg.Operator.Tenure/4 {
+			return
+		}
+		n.renewing = true
+		asked := n.loop.Now()
+		n.state.Renew(n.tenure, func(status int) {
+			n.renewing = false
+			switch {
+			case status >= 200 && status < 300:
+				n.renewedAt = asked
+			case status == 404:
+				n.log.Info("our tenure has run out", "tenure", n.tenure)
+				n.become(outside)
+			}
+		})
+	}
+}
+
+func (n *Node) register(again func()) {
+	raw, _ := json.Marshal(state.Member{Host: n.cfg.Host, Tenure: n.tenure})
+	t := api.Txn{Then: []api.Change{{Set: state.KeyMember(n.cfg.Host), Value: raw, Tenure: uint64(n.tenure)}}}
+	n.state.Txn(t, func(r state.Result) {
+		if r.Outcome != state.Applied {
+			again()
+			return
+		}
+		n.become(member)
+	})
+}
+
+// elect makes this node the leader if there is none.
+func (n *Node) elect() {
+	if n.membership != member || n.electing || n.mirror.Leader.Record != nil {
+		return
+	}
+	n.electing = true
+	n.loop.After(time.Duration(n.rnd.Int64N(int64(150*time.Millisecond))), func() {
+		if n.mirror.Leader.Record != nil || n.membership != member {
+			n.electing = false
+			return
+		}
+		term := n.mirror.Term.Record.Last + 1
+		counter, _ := json.Marshal(state.TermCounter{Last: term})
+		rec, _ := json.Marshal(state.Leader{Host: n.cfg.Host, Tenure: n.tenure, Term: term})
+		t := api.Txn{
+			If: []api.Condition{{Key: state.KeyLeader}, {Key: state.KeyTerm, Version: uint64(n.mirror.Term.Version)}},
+			Then: []api.Change{
+				{Set: state.KeyTerm, Value: counter},
+				{Set: state.KeyLeader, Value: rec, Tenure: uint64(n.tenure)},
+			},
+		}
+		n.state.Txn(t, func(r state.Result) {
+			if r.Outcome == state.NoTenure {
+				n.become(outside)
+			}
+			n.mirror.Fresh(func(bool) { n.electing = false })
+		})
+	})
+}
+
+// changed takes in what has changed in the mirror.
+func (n *Node) changed(t state.Touched) {
+	if n.stopped {
+		return
+	}
+	n.follow()
+	for _, h := range n.holders {
+		h.Changed(t)
+	}
+	if n.leader != nil {
+		n.leader.Tick()
+	}
+}
+
+// follow starts and ends the roles that the records give this node.
+func (n *Node) follow() {
+	l := n.mirror.Leader
+	ours := n.tenure != 0 && l.Record != nil && l.Record.Host == n.cfg.Host && l.Record.Tenure == n.tenure
+	if n.leader != nil && (!ours || n.leader.Version() != l.Version) {
+		n.leader.End()
+		n.leader = nil
+	}
+	if ours && n.leader == nil {
+		n.leader = leader.New(leader.Env{
+			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud,
+		}, l)
+	}
+	for num, h := range n.holders {
+		b, ok := n.mirror.Blocks[num]
+		if !ok || b.Record.Granted != h.Granted() || b.Record.Holder != n.cfg.Host {
+			h.Release()
+			delete(n.holders, num)
+		}
+	}
+	for num, b := range n.mirror.Blocks {
+		if n.holders[num] == nil && n.tenure != 0 && b.Record.Holder == n.cfg.Host && b.Record.Tenure == n.tenure {
+			n.holders[num] = block.New(block.Env{
+				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types,
+			}, b.Record)
+		}
+	}
+}
+
+func (n *Node) types() map[string]api.MachineType { return n.mirror.Types.Record }
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,480 @@
+// Package placement decides which waiting tasks start on which machines. It is
+// pure: no input or output, and the time is handed in.
+//
+// It follows Backfill Balanced (Leinberger, Karypis, Kumar, TR 99-025), as
+// adapted in docs/design.md: the oldest task takes the machine with the best
+// balance or reserves one, as in EASY; later tasks fill in, best pair first.
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"lichenstair/internal/core"
+)
+
+// Need is an amount of each resource.
+type Need struct{ CPUs, GPUs, MemoryGB float64 }
+
+// Plus returns n + o.
+func (n Need) Plus(o Need) Need {
+	return Need{n.CPUs + o.CPUs, n.GPUs + o.GPUs, n.MemoryGB + o.MemoryGB}
+}
+
+// Minus returns n - o.
+func (n Need) Minus(o Need) Need {
+	return Need{n.CPUs - o.CPUs, n.GPUs - o.GPUs, n.MemoryGB - o.MemoryGB}
+}
+
+// Times returns n for k tasks.
+func (n Need) Times(k float64) Need { return Need{n.CPUs * k, n.GPUs * k, n.MemoryGB * k} }
+
+const slack = 1e-6
+
+// Fits tells whether n is no more than room.
+func (n Need) Fits(room Need) bool {
+	return n.CPUs <= room.CPUs+slack && n.GPUs <= room.GPUs+slack && n.MemoryGB <= room.MemoryGB+slack
+}
+
+// Release is an amount that is expected to become free.
+type Release struct {
+	At   core.Time
+	Need Need
+}
+
+// Machine is a machine on which tasks can be started.
+type Machine struct {
+	ID       core.MachineID
+	Type     string
+	Zone     string
+	Spot     bool
+	Total    Need
+	Booked   Need
+	Releases []Release
+	Images   map[string]bool
+	// Shunned: the machine has failed tasks lately; it is taken last.
+	Shunned bool
+}
+
+// Free returns what is not booked.
+func (m *Machine) Free() Need { return m.Total.Minus(m.Booked) }
+
+// Job is a job with waiting tasks.
+type Job struct {
+	ID       core.JobID
+	Team     string
+	Rank     int // higher goes first
+	At       core.Wall
+	Need     Need
+	Gang     bool
+	Tasks    int // all tasks of the job
+	Waiting  int // tasks that wait
+	Types    []string
+	Zone     string
+	OneZone  bool
+	Scatter  bool
+	Spot     bool
+	Image    string
+	Estimate time.Duration
+	// Zones counts the job's tasks that are on machines, by zone.
+	Zones map[string]int
+	// Avoid names machines on which the job must not be tried for now.
+	Avoid map[core.MachineID]bool
+	// Guaranteed: the job fits into what its team is guaranteed.
+	Guaranteed bool
+}
+
+// Team is what a team uses and may use.
+type Team struct{ Used, Max Need }
+
+// Start is a task of a job to be started on a machine.
+type Start struct {
+	Job     core.JobID
+	Machine core.MachineID
+}
+
+// Result is what a pass decided.
+type Result struct {
+	Starts []Start
+	// Reserved is the job that holds the reservation, if any.
+	Reserved   core.JobID
+	ReservedAt core.Time
+	Holds      map[core.MachineID]Need
+}
+
+// Policy chooses between the ordinary path and what it is compared with.
+type Policy struct {
+	FirstFit      bool
+	NoReservation bool
+}
+
+type pass struct {
+	now      core.Time
+	policy   Policy
+	machines []*Machine
+	teams    map[string]*Team
+	out      Result
+}
+
+// Pass decides what can start now. It changes machines, jobs and teams as if
+// the tasks had been started.
+func Pass(now core.Time, machines []*Machine, jobs []*Job, teams map[string]*Team, policy Policy) Result {
+	p := &pass{now: now, policy: policy, machines: machines, teams: teams}
+	Sort(jobs)
+	rest := jobs
+	for len(rest) > 0 && p.out.Reserved == "" {
+		p.head(rest[0])
+		rest = rest[1:]
+	}
+	p.backfill(rest)
+	return p.out
+}
+
+// Sort puts jobs into the order in which they are served: by rank, work within
+// a guarantee before borrowed, then the oldest first.
+func Sort(jobs []*Job) {
+	sort.SliceStable(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		switch {
+		case x.Rank != y.Rank:
+			return x.Rank > y.Rank
+		case x.Guaranteed != y.Guaranteed:
+			return x.Guaranteed
+		case x.At != y.At:
+			return x.At < y.At
+		}
+		return x.ID < y.ID
+	})
+}
+
+// head starts what it can of the oldest job, and reserves for the rest of it.
+func (p *pass) head(j *Job) {
+	if j.Gang {
+		if !p.teamHasRoom(j, j.Waiting) {
+			return
+		}
+		if picks := p.gang(j, p.free); picks != nil {
+			for _, m := range picks {
+				p.start(j, m)
+			}
+			return
+		}
+	} else {
+		for j.Waiting > 0 {
+			if !p.teamHasRoom(j, 1) {
+				return
+			}
+			m, _ := p.best(j, p.free)
+			if m == nil {
+				break
+			}
+			p.start(j, m)
+		}
+		if j.Waiting == 0 {
+			return
+		}
+	}
+	if !p.policy.NoReservation {
+		p.reserve(j)
+	}
+}
+
+func (p *pass) teamHasRoom(j *Job, tasks int) bool {
+	t := p.teams[j.Team]
+	if t == nil {
+		return false
+	}
+	after := t.Used.Plus(j.Need.Times(float64(tasks)))
+	return after.CPUs <= t.Max.CPUs+slack && after.GPUs <= t.Max.GPUs+slack
+}
+
+func (p *pass) start(j *Job, m *Machine) {
+	m.Booked = m.Booked.Plus(j.Need)
+	m.Releases = append(m.Releases, Release{p.now.Add(j.Estimate), j.Need})
+	if j.Zones == nil {
+		j.Zones = map[string]int{}
+	}
+	j.Zones[m.Zone]++
+	j.Waiting--
+	if t := p.teams[j.Team]; t != nil {
+		t.Used = t.Used.Plus(j.Need)
+	}
+	p.out.Starts = append(p.out.Starts, Start{j.ID, m.ID})
+}
+
+// Allows tells whether a task of the job may be on a machine like this one,
+// the job's other tasks aside.
+func (j *Job) Allows(typ, zone string, spot bool) bool {
+	if spot && !j.Spot || j.Zone != "" && j.Zone != zone {
+		return false
+	}
+	if j.Types == nil {
+		return true
+	}
+	for _, t := range j.Types {
+		if t == typ {
+			return true
+		}
+	}
+	return false
+}
+
+// zoneAllows tells whether one more task may go to a zone.
+func (j *Job) zoneAllows(zone string, zones map[string]int) bool {
+	if j.OneZone {
+		for z, n := range zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	if j.Scatter && zones[zone]+1 > (j.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+type freeOf func(m *Machine) Need
+
+func (p *pass) free(m *Machine) Need { return m.Free() }
+
+// beside returns what a later job may use of a machine without delaying the
+// reservation: all that is free if it ends in time, else what the head leaves.
+func (p *pass) beside(j *Job) freeOf {
+	return func(m *Machine) Need {
+		free := m.Free()
+		hold, held := p.out.Holds[m.ID]
+		if !held || p.now.Add(j.Estimate) <= p.out.ReservedAt {
+			return free
+		}
+		at := m.freeAt(p.out.ReservedAt).Minus(hold)
+		return Need{min(free.CPUs, at.CPUs), min(free.GPUs, at.GPUs), min(free.MemoryGB, at.MemoryGB)}
+	}
+}
+
+// freeAt estimates what is free at a time.
+func (m *Machine) freeAt(at core.Time) Need {
+	f := m.Free()
+	for _, r := range m.Releases {
+		if r.At <= at {
+			f = f.Plus(r.Need)
+		}
+	}
+	return f
+}
+
+// Score rates a need on a machine; lower is better. It is the paper's balance
+// measure less one, times its fullness modifier.
+func Score(m *Machine, n Need) (score, mean float64) {
+	most, sum, k := 0.0, 0.0, 0.0
+	add := func(booked, need, total float64) {
+		if total > 0 {
+			f := (booked + need) / total
+			most, sum, k = max(most, f), sum+f, k+1
+		}
+	}
+	add(m.Booked.CPUs, n.CPUs, m.Total.CPUs)
+	add(m.Booked.MemoryGB, n.MemoryGB, m.Total.MemoryGB)
+	add(m.Booked.GPUs, n.GPUs, m.Total.GPUs)
+	if sum == 0 {
+		return 0, 0
+	}
+	mean = sum / k
+	return (most/mean - 1) * (1 - mean), mean
+}
+
+type rating struct {
+	shunned bool
+	score   float64
+	mean    float64
+	cold    bool
+}
+
+func (a rating) better(b rating) bool {
+	const tie = 1e-9
+	switch {
+	case a.shunned != b.shunned:
+		return !a.shunned
+	case math.Abs(a.score-b.score) > tie:
+		return a.score < b.score
+	case math.Abs(a.mean-b.mean) > tie:
+		return a.mean > b.mean
+	}
+	return !a.cold && b.cold
+}
+
+func rate(j *Job, m *Machine) rating {
+	s, mean := Score(m, j.Need)
+	return rating{m.Shunned, s, mean, !m.Images[j.Image]}
+}
+
+// best returns the machine with the best rating for one task of an array.
+func (p *pass) best(j *Job, free freeOf) (*Machine, rating) {
+	var pick *Machine
+	var top rating
+	for _, m := range p.machines {
+		if !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.zoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
+			continue
+		}
+		if p.policy.FirstFit {
+			return m, top
+		}
+		if r := rate(j, m); pick == nil || r.better(top) {
+			pick, top = m, r
+		}
+	}
+	return pick, top
+}
+
+// gang finds machines for all waiting tasks at once, or nil.
+func (p *pass) gang(j *Job, free freeOf) []*Machine {
+	if !j.OneZone {
+		return p.members(j, free, "")
+	}
+	var top []*Machine
+	var topScore float64
+	tried := map[string]bool{}
+	for _, m := range p.machines {
+		if tried[m.Zone] {
+			continue
+		}
+		tried[m.Zone] = true
+		picks := p.members(j, free, m.Zone)
+		if picks == nil {
+			continue
+		}
+		sum := 0.0
+		for _, m := range picks {
+			s, _ := Score(m, j.Need)
+			sum += s
+		}
+		if top == nil || sum < topScore {
+			top, topScore = picks, sum
+		}
+	}
+	return top
+}
+
+func (p *pass) members(j *Job, free freeOf, zone string) []*Machine {
+	type room struct {
+		m    *Machine
+		left Need
+		r    rating
+	}
+	var rooms []room
+	for _, m := range p.machines {
+		if zone != "" && m.Zone != zone || !j.Allows(m.Type, m.Zone, m.Spot) || j.Avoid[m.ID] {
+			continue
+		}
+		if f := free(m); j.Need.Fits(f) {
+			rooms = append(rooms, room{m, f, rate(j, m)})
+		}
+	}
+	sort.SliceStable(rooms, func(a, b int) bool { return rooms[a].r.better(rooms[b].r) })
+	zones := map[string]int{}
+	for z, n := range j.Zones {
+		zones[z] = n
+	}
+	var picks []*Machine
+	for i := range rooms {
+		for len(picks) < j.Waiting && j.Need.Fits(rooms[i].left) && j.zoneAllows(rooms[i].m.Zone, zones) {
+			rooms[i].left = rooms[i].left.Minus(j.Need)
+			zones[rooms[i].m.Zone]++
+			picks = append(picks, rooms[i].m)
+		}
+	}
+	if len(picks) < j.Waiting {
+		return nil
+	}
+	return picks
+}
+
+// reserve holds the machines that can take the head job soonest by estimate.
+func (p *pass) reserve(j *Job) {
+	var times []core.Time
+	for _, m := range p.machines {
+		if j.Allows(m.Type, m.Zone, m.Spot) {
+			for _, r := range m.Releases {
+				times = append(times, max(r.At, p.now))
+			}
+		}
+	}
+	sort.Slice(times, func(a, b int) bool { return times[a] < times[b] })
+	for i, at := range times {
+		if i > 0 && at == times[i-1] {
+			continue
+		}
+		free := func(m *Machine) Need { return m.freeAt(at) }
+		var picks []*Machine
+		if j.Gang {
+			picks = p.gang(j, free)
+		} else if m, _ := p.best(j, free); m != nil {
+			picks = []*Machine{m}
+		}
+		if picks == nil {
+			continue
+		}
+		p.out.Reserved, p.out.ReservedAt, p.out.Holds = j.ID, at, map[core.MachineID]Need{}
+		for _, m := range picks {
+			p.out.Holds[m.ID] = p.out.Holds[m.ID].Plus(j.Need)
+		}
+		return
+	}
+}
+
+// backfill starts later jobs beside the reservation, best pair first.
+func (p *pass) backfill(jobs []*Job) {
+	type option struct {
+		m *Machine
+		r rating
+	}
+	options := make([]option, len(jobs))
+	stale := make([]bool, len(jobs))
+	look := func(i int) {
+		j := jobs[i]
+		options[i], stale[i] = option{}, false
+		if !j.Gang && j.Waiting > 0 && p.teamHasRoom(j, 1) {
+			options[i].m, options[i].r = p.best(j, p.beside(j))
+		}
+	}
+	for i, j := range jobs {
+		if j.Gang && p.teamHasRoom(j, j.Waiting) {
+			for _, m := range p.gang(j, p.beside(j)) {
+				p.start(j, m)
+			}
+		}
+		stale[i] = true
+	}
+	for {
+		at := -1
+		for i := range jobs {
+			if stale[i] {
+				look(i)
+			}
+			if options[i].m != nil && (at < 0 || options[i].r.better(options[at].r)) {
+				at = i
+			}
+			if at >= 0 && p.policy.FirstFit {
+				break
+			}
+		}
+		if at < 0 {
+			return
+		}
+		m := options[at].m
+		p.start(jobs[at], m)
+		for i := range jobs {
+			// A start changes its machine for all jobs; a job's option on
+			// another machine stands unless this one has now become better.
+			if i == at || options[i].m == m || jobs[i].Team == jobs[at].Team {
+				stale[i] = true
+			} else if options[i].m != nil && jobs[i].Need.Fits(p.beside(jobs[i])(m)) &&
+				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].zoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] {
+				if r := rate(jobs[i], m); r.better(options[i].r) {
+					options[i] = option{m, r}
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/records.go
@@ -0,0 +1,185 @@
+package state
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+)
+
+// All keys stand below one root, so that one watch sees them all in order.
+const (
+	root      = "lichenstair/"
+	KeyLeader = root + "leader"
+	KeyTerm   = root + "term"
+	KeyPool   = root + "pool"
+	KeyTypes  = root + "types"
+	members   = root + "member/"
+	blocks    = root + "block/"
+	jobs      = root + "job/"
+	rounds    = root + "round/"
+	keyNever  = root + "never"
+)
+
+// KeyMember is the key of a controller.
+func KeyMember(h core.Host) string { return members + string(h) }
+
+// KeyBlock is the key of a block.
+func KeyBlock(n int) string { return blocks + strconv.Itoa(n) }
+
+// KeyJob is the key of a job.
+func KeyJob(id core.JobID) string { return jobs + string(id) }
+
+// KeyRound is the key of a round of done tasks.
+func KeyRound(n int, term core.Term, seq int) string {
+	return fmt.Sprintf("%s%d/%d-%d", rounds, n, term, seq)
+}
+
+// Member is the record of a live controller, attached to its tenure.
+type Member struct {
+	Host   core.Host   `json:"host"`
+	Tenure core.Tenure `json:"tenure"`
+}
+
+// Leader is the record of the leader, attached to its tenure.
+type Leader struct {
+	Host   core.Host   `json:"host"`
+	Tenure core.Tenure `json:"tenure"`
+	Term   core.Term   `json:"term"`
+}
+
+// TermCounter is the one counter from which all terms are drawn.
+type TermCounter struct {
+	Last core.Term `json:"last"`
+}
+
+// Machine is a machine in a block or in the pool.
+type Machine struct {
+	ID   core.MachineID `json:"id"`
+	Addr string         `json:"addr,omitempty"`
+	Type string         `json:"type"`
+	Zone string         `json:"zone"`
+	Spot bool           `json:"spot,omitempty"`
+	// Up is set, durably, before the first task of the block is started on it.
+	Up bool `json:"up,omitempty"`
+	// Asked: the leader wants the machine back for another block.
+	Asked bool `json:"asked,omitempty"`
+	// Lost: the holder wants the machine to be returned to the cloud.
+	Lost bool `json:"lost,omitempty"`
+	// Since is when the machine was rented or first seen.
+	Since core.Wall `json:"since,omitempty"`
+	// Seen is the term under which its last block commanded it (pool only).
+	Seen core.Term `json:"seen,omitempty"`
+	// Fate says what becomes of a machine in the pool.
+	Fate Fate `json:"fate,omitempty"`
+}
+
+// Fate is what becomes of a machine in the pool.
+type Fate string
+
+const (
+	// Free: it can be assigned to a block.
+	Free Fate = ""
+	// Returning: it is being returned to the cloud and must not be assigned.
+	Returning Fate = "returning"
+	// Gone: the cloud has confirmed that it and all on it are gone.
+	Gone Fate = "gone"
+)
+
+// Block is the record of a block.
+type Block struct {
+	Number int         `json:"number"`
+	Holder core.Host   `json:"holder"`
+	Tenure core.Tenure `json:"tenure"`
+	Term   core.Term   `json:"term"`
+	// Granted is the term under which the holder received the block; Term may
+	// have been raised since for the same holder.
+	Granted  core.Term `json:"granted"`
+	Teams    []string  `json:"teams"`
+	Machines []Machine `json:"machines"`
+}
+
+// Size estimates the length of the record, so that it stays below the limit.
+func (b *Block) Size() int { return 200 + 40*len(b.Teams) + 170*len(b.Machines) }
+
+// Find returns the place of a machine in the block, or -1.
+func (b *Block) Find(id core.MachineID) int {
+	for i := range b.Machines {
+		if b.Machines[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// Clone copies the record, so that a changed one can be written.
+func (b *Block) Clone() *Block {
+	c := *b
+	c.Machines = append([]Machine{}, b.Machines...)
+	return &c
+}
+
+// Pool is the record of machines that belong to no block, or no longer exist.
+type Pool struct {
+	Machines []Machine `json:"machines"`
+}
+
+// Clone copies the record.
+func (p *Pool) Clone() *Pool { return &Pool{append([]Machine{}, p.Machines...)} }
+
+// Find returns the place of a machine in the pool, or -1.
+func (p *Pool) Find(id core.MachineID) int {
+	for i := range p.Machines {
+		if p.Machines[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// JobPhase is the durable state of a job.
+type JobPhase string
+
+const (
+	JobAccepted  JobPhase = "accepted"
+	JobDone      JobPhase = "done"
+	JobCancelled JobPhase = "cancelled"
+)
+
+// Job is the record of a job. When the job is over, Spec is dropped; what a
+// task uses stays, since tasks of a cancelled job count until they are gone.
+type Job struct {
+	Phase    JobPhase  `json:"phase"`
+	Tasks    int       `json:"tasks"`
+	At       core.Wall `json:"at,omitempty"`
+	Team     string    `json:"team"`
+	CPUs     float64   `json:"cpus"`
+	GPUs     float64   `json:"gpus,omitempty"`
+	MemoryGB float64   `json:"memory,omitempty"`
+	Spec     *api.Job  `json:"spec,omitempty"`
+}
+
+// End returns the record of the job once it is over.
+func (j Job) End(p JobPhase) Job {
+	j.Phase, j.Spec = p, nil
+	return j
+}
+
+// Over tells whether the job has reached a final phase.
+func (j *Job) Over() bool { return j.Phase != JobAccepted }
+
+// Round is a record of tasks done, by job.
+type Round struct {
+	Done map[core.JobID]core.Set `json:"done"`
+}
+
+func blockOfRound(key string) int {
+	n, _, _ := strings.Cut(strings.TrimPrefix(key, rounds), "/")
+	i, err := strconv.Atoi(n)
+	if err != nil {
+		return -1
+	}
+	return i
+}
--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,42 @@
+// Package worker talks to workers at their own addresses. Starts never go this
+// way: a direct command can be executed minutes late.
+package worker
+
+import (
+	"encoding/json"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+)
+
+// Client asks workers for their reports.
+type Client struct{ call core.Caller }
+
+// NewClient makes a client.
+func NewClient(call core.Caller) *Client { return &Client{call} }
+
+const timeout = 3 * time.Second
+
+func report(r core.Response) *api.Report {
+	if r.Status != 200 && r.Status != 409 {
+		return nil
+	}
+	var rep api.Report
+	if json.Unmarshal(r.Body, &rep) != nil || rep.Machine == "" {
+		return nil
+	}
+	return &rep
+}
+
+// Fence shows a term to a worker and brings its report; nil if none came. The
+// term has been taken only if the report carries it.
+func (c *Client) Fence(addr string, term core.Term, season core.Season, done func(*api.Report)) {
+	body, _ := json.Marshal(api.Direct{Term: uint64(term), Season: uint64(season), Orders: []api.Order{}})
+	c.call.Call(core.Request{Addr: addr, Method: "POST", Path: "/do", Body: body, Timeout: timeout}, func(r core.Response) { done(report(r)) })
+}
+
+// Inspect brings a worker's report; nil if none came.
+func (c *Client) Inspect(addr string, done func(*api.Report)) {
+	c.call.Call(core.Request{Addr: addr, Method: "GET", Path: "/inspect", Timeout: timeout}, func(r core.Response) { done(report(r)) })
+}
