--- /dev/null
+++ b/internal/sim/checker.go
@@ -0,0 +1,254 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+)
+
+// Place is a machine, as far as the rules care.
+type Place struct {
+	ID, Type, Zone string
+	Spot           bool
+}
+
+// Checker is told what happens and checks every rule of the protocol. It is
+// stricter than the rules in one point: a task counts as being on a machine
+// from its start command on, not only once it has its image.
+type Checker struct {
+	Broken []string
+	Starts int
+
+	now    Clock
+	teams  map[string]config.Team
+	cancel time.Duration
+	jobs   map[string]*watched
+	on     map[core.TaskID]map[string]Place
+	cpus   map[string]float64
+	gpus   map[string]float64
+	polls  []pollResult
+	due    Clock
+}
+
+type watched struct {
+	spec      api.Job
+	accepted  bool
+	asked     bool
+	final     string
+	toldAt    Clock
+	done      map[int]bool
+	failing   Clock // since when all polls fail; 0: they do not
+	anyFailed bool
+	on        int
+}
+
+type pollResult struct {
+	at  Clock
+	job string
+	ok  bool
+}
+
+// NewChecker makes a checker for teams and the time a cancellation may take.
+func NewChecker(teams []config.Team, cancel time.Duration) *Checker {
+	c := &Checker{
+		teams: map[string]config.Team{}, cancel: cancel, jobs: map[string]*watched{}, on: map[core.TaskID]map[string]Place{},
+		cpus: map[string]float64{}, gpus: map[string]float64{},
+	}
+	for _, t := range teams {
+		c.teams[t.Name] = t
+	}
+	return c
+}
+
+func (c *Checker) fail(format string, args ...any) {
+	c.Broken = append(c.Broken, fmt.Sprintf("%.3f ", c.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+// Step checks what may not last, at a time.
+func (c *Checker) Step(now Clock) {
+	c.now = now
+	if now < c.due {
+		return
+	}
+	c.due = now + 500*time.Millisecond
+	for id, j := range c.jobs {
+		if j.final == api.PhaseCancelled && j.on > 0 && now > j.toldAt+c.cancel {
+			c.fail("ran_cancelled: %s is still on %d machines", id, j.on)
+		}
+	}
+}
+
+// Submitted tells of a job that its user is about to submit.
+func (c *Checker) Submitted(spec api.Job) {
+	c.jobs[spec.ID] = &watched{spec: spec, done: map[int]bool{}}
+}
+
+// CancelAsked tells that a user wants a job cancelled.
+func (c *Checker) CancelAsked(id string) { c.jobs[id].asked = true }
+
+// Told tells what phase a user was told.
+func (c *Checker) Told(id, phase string) {
+	j := c.jobs[id]
+	if j == nil {
+		c.fail("invented: %s", id)
+		return
+	}
+	j.accepted = true
+	switch {
+	case j.final != "" && phase != j.final:
+		c.fail("went_back: %s was %s and is called %s", id, j.final, phase)
+	case phase == api.PhaseCancelled && !j.asked:
+		c.fail("went_back: %s is called cancelled, which nobody asked for", id)
+	case phase == api.PhaseDone && len(j.done) < j.spec.Tasks:
+		c.fail("not_done: %s is called done with %d of %d tasks", id, len(j.done), j.spec.Tasks)
+	}
+	if j.final == "" && (phase == api.PhaseDone || phase == api.PhaseCancelled) {
+		j.final, j.toldAt = phase, c.now
+	}
+}
+
+// NotFound tells that a user was told that a job is unknown.
+func (c *Checker) NotFound(id string) {
+	if j := c.jobs[id]; j != nil && j.accepted {
+		c.fail("forgotten: %s is answered 404", id)
+	}
+}
+
+// Rejected tells that a submission was refused for good.
+func (c *Checker) Rejected(id string, status int) {
+	if j := c.jobs[id]; j != nil && j.accepted {
+		c.fail("forgotten: a repeated submission of %s is answered %d", id, status)
+	}
+}
+
+const pollWindow = 90 * time.Second
+
+// Polled tells whether a poll was answered.
+func (c *Checker) Polled(id string, asked Clock, ok bool) {
+	j := c.jobs[id]
+	if j == nil || !j.accepted {
+		return
+	}
+	c.polls = append(c.polls, pollResult{c.now, id, ok})
+	for len(c.polls) > 0 && c.polls[0].at < c.now-pollWindow {
+		c.polls = c.polls[1:]
+	}
+	if ok {
+		j.anyFailed = false
+		return
+	}
+	if !j.anyFailed {
+		j.anyFailed, j.failing = true, asked
+	}
+	if c.now-j.failing < pollWindow {
+		return
+	}
+	answered, others := 0, 0
+	for _, p := range c.polls {
+		if p.job != id {
+			others++
+			if p.ok {
+				answered++
+			}
+		}
+	}
+	if others > 0 && answered*2 > others {
+		c.fail("forgotten: all polls for %s have failed for %s", id, pollWindow)
+	}
+}
+
+// Completed tells that a task has completed.
+func (c *Checker) Completed(t core.TaskID) {
+	if j := c.jobs[string(t.Job)]; j != nil {
+		j.done[t.Index] = true
+	}
+}
+
+// On tells that a task starts on a machine.
+func (c *Checker) On(t core.TaskID, p Place) {
+	c.Starts++
+	j := c.jobs[string(t.Job)]
+	if j == nil {
+		c.fail("invented: %s is started, its job was never submitted", t)
+		return
+	}
+	if others := c.on[t]; len(others) > 0 {
+		c.fail("ran_twice: %s starts on %s while it is on %v", t, p.ID, others)
+	}
+	if j.final == api.PhaseCancelled && c.now > j.toldAt+c.cancel {
+		c.fail("ran_cancelled: %s starts on %s", t, p.ID)
+	}
+	c.place(j, t, p)
+	if c.on[t] == nil {
+		c.on[t] = map[string]Place{}
+	}
+	c.on[t][p.ID] = p
+	j.on++
+	team := j.spec.Team
+	c.cpus[team] += j.spec.CPUs
+	c.gpus[team] += j.spec.GPUs
+	if lim := c.teams[team]; c.cpus[team] > lim.CPUsMax+1e-6 || c.gpus[team] > lim.GPUsMax+1e-6 {
+		c.fail("quota: team %s uses %g CPUs and %g GPUs", team, c.cpus[team], c.gpus[team])
+	}
+}
+
+func (c *Checker) place(j *watched, t core.TaskID, p Place) {
+	s := j.spec
+	allowed := s.Types == nil
+	for _, typ := range s.Types {
+		allowed = allowed || typ == p.Type
+	}
+	switch {
+	case !allowed:
+		c.fail("wrong_place: %s on type %s", t, p.Type)
+	case s.Zone != nil && *s.Zone != p.Zone:
+		c.fail("wrong_place: %s in zone %s", t, p.Zone)
+	case p.Spot && !s.Spot:
+		c.fail("wrong_place: %s on a spot machine", t)
+	}
+	if !s.OneZone && !s.Scatter {
+		return
+	}
+	same := 1
+	for other, places := range c.on {
+		if other.Job != t.Job || other == t {
+			continue
+		}
+		for _, q := range places {
+			if q.Zone == p.Zone {
+				same++
+			} else if s.OneZone {
+				c.fail("wrong_place: %s in zone %s while %s is in %s", t, p.Zone, other, q.Zone)
+			}
+		}
+	}
+	if s.Scatter && same > (s.Tasks+1)/2 {
+		c.fail("wrong_place: %d of %d tasks of %s in zone %s", same, s.Tasks, t.Job, p.Zone)
+	}
+}
+
+// Off tells that a task is no longer on a machine.
+func (c *Checker) Off(t core.TaskID, machine string) {
+	if _, ok := c.on[t][machine]; !ok {
+		return
+	}
+	delete(c.on[t], machine)
+	if len(c.on[t]) == 0 {
+		delete(c.on, t)
+	}
+	if j := c.jobs[string(t.Job)]; j != nil {
+		j.on--
+		c.cpus[j.spec.Team] -= j.spec.CPUs
+		c.gpus[j.spec.Team] -= j.spec.GPUs
+	}
+}
+
+// End checks what can be said only at the end of a run.
+func (c *Checker) End() {
+	if c.Starts == 0 {
+		c.fail("nothing_ran")
+	}
+}
--- /dev/null
+++ b/internal/sim/cloud.go
@@ -0,0 +1,192 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+)
+
+// Cloud is a stand-in for the cloud.
+type Cloud struct {
+	w        *World
+	Types    []api.MachineType
+	Capacity map[string]int // type/zone/spot
+	machines map[string]*Machine
+	byAddr   map[string]*Machine
+	answers  map[string][]string
+	next     int
+	down     Clock
+	rate     limit
+	BootFail float64
+	Late     float64 // share of rentals and returns that are carried out late
+}
+
+func newCloud(w *World) *Cloud {
+	return &Cloud{
+		w: w, Capacity: map[string]int{}, machines: map[string]*Machine{}, byAddr: map[string]*Machine{}, answers: map[string][]string{},
+		rate: limit{rate: w.Cfg.CloudLim.RPS * 2, level: w.Cfg.CloudLim.RPS * 2},
+	}
+}
+
+// Outage makes the cloud answer 503 for a while.
+func (c *Cloud) Outage(d time.Duration) { c.down = max(c.down, c.w.now+d) }
+
+func kind(typ, zone string, spot bool) string { return fmt.Sprintf("%s/%s/%t", typ, zone, spot) }
+
+func (c *Cloud) typ(name string) *api.MachineType {
+	for i := range c.Types {
+		if c.Types[i].Name == name {
+			return &c.Types[i]
+		}
+	}
+	return nil
+}
+
+// Add puts a machine into the world that boots in a while.
+func (c *Cloud) Add(typ, zone string, spot bool, boot time.Duration) *Machine {
+	id := fmt.Sprintf("n-%06d", c.next)
+	addr := fmt.Sprintf("10.1.%d.%d:9000", c.next/250, c.next%250+1)
+	c.next++
+	m := newMachine(c.w, id, addr, c.typ(typ), zone, spot)
+	c.machines[id], c.byAddr[addr] = m, m
+	c.Capacity[kind(typ, zone, spot)]--
+	if boot >= 0 {
+		c.w.In(boot, m.boot)
+	}
+	return m
+}
+
+// Up lists the machines that are there, by name.
+func (c *Cloud) Up() []*Machine {
+	var out []*Machine
+	for _, m := range c.machines {
+		if m.phase == machineUp {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// Take takes a machine back, as the cloud does with spot machines.
+func (c *Cloud) Take(m *Machine) {
+	if c.machines[m.ID] == nil {
+		return
+	}
+	delete(c.machines, m.ID)
+	m.end(machineGone)
+	c.Capacity[kind(m.typ.Name, m.zone, m.spot)]++
+}
+
+func (c *Cloud) handle(_ party, r core.Request, reply func(core.Response)) {
+	delay := time.Duration(c.w.between(50, 300) * float64(time.Millisecond))
+	if c.Late > 0 && r.Method == "POST" && c.w.chance(c.Late) {
+		c.w.In(time.Duration(c.w.between(10, 90)*float64(time.Second)), func() { c.serve(r, func(core.Response) {}) })
+		return
+	}
+	c.w.In(delay, func() { c.serve(r, reply) })
+}
+
+func (c *Cloud) serve(r core.Request, reply func(core.Response)) {
+	if c.w.now < c.down {
+		reply(answer(503, api.Error{Error: "trouble"}))
+		return
+	}
+	if !c.rate.take(c.w.now, 1) {
+		reply(answer(429, api.Error{Error: "too many requests"}))
+		return
+	}
+	path, query, _ := strings.Cut(r.Path, "?")
+	switch {
+	case path == "/flavors":
+		reply(answer(200, api.MachineTypes{Types: c.Types}))
+	case path == "/hosts" && r.Method == "GET":
+		q, _ := url.ParseQuery(query)
+		at := max(0, c.w.now-time.Duration(float64(c.w.Cfg.CloudLim.ListLag)*c.w.between(1, 2)))
+		most, _ := strconv.Atoi(q.Get("most"))
+		reply(answer(200, c.list(at, q.Get("from"), most)))
+	case path == "/hosts":
+		c.rent(r.Body, reply)
+	case path == "/hosts/return":
+		var n api.MachineNames
+		if json.Unmarshal(r.Body, &n) != nil || len(n.Machines) > 100 {
+			reply(answer(400, api.Error{Error: "malformed"}))
+			return
+		}
+		for _, id := range n.Machines {
+			if m := c.machines[id]; m != nil {
+				c.Take(m)
+			}
+		}
+		reply(answer(200, struct{}{}))
+	default:
+		reply(answer(400, api.Error{Error: "malformed"}))
+	}
+}
+
+func (c *Cloud) rent(body []byte, reply func(core.Response)) {
+	var r api.Rental
+	if json.Unmarshal(body, &r) != nil || r.Request == "" || r.Count < 1 || r.Count > 50 || c.typ(r.Type) == nil {
+		reply(answer(400, api.Error{Error: "malformed"}))
+		return
+	}
+	if got, ok := c.answers[r.Request]; ok {
+		reply(answer(200, api.MachineNames{Machines: got}))
+		return
+	}
+	n := min(r.Count, c.Capacity[kind(r.Type, r.Zone, r.Spot)])
+	if n <= 0 {
+		reply(answer(503, api.Error{Error: "no capacity"}))
+		return
+	}
+	var got []string
+	for range n {
+		boot := core.Seconds(c.typ(r.Type).BootS * c.w.between(0.6, 1.5))
+		switch {
+		case c.w.chance(c.BootFail):
+			boot = -1
+		case c.w.chance(0.05):
+			boot = time.Second
+		}
+		got = append(got, c.Add(r.Type, r.Zone, r.Spot, boot).ID)
+	}
+	c.answers[r.Request] = got
+	reply(answer(200, api.MachineNames{Machines: got}))
+}
+
+// list shows the machines as they were at a time, as far as they still exist.
+func (c *Cloud) list(at Clock, from string, most int) api.MachineList {
+	l := api.MachineList{Machines: []api.ListedMachine{}}
+	var ids []string
+	for id, m := range c.machines {
+		if m.rented <= at && id > from {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		if len(l.Machines) == most {
+			l.More = true
+			break
+		}
+		m := c.machines[id]
+		p := api.MachineBooting
+		switch {
+		case m.phase == machineDead && at > m.ended+30*time.Second:
+			p = api.MachineFailed
+		case m.up > 0 && m.up <= at:
+			p = api.MachineRunning
+		}
+		l.Machines = append(l.Machines, api.ListedMachine{
+			ID: id, Addr: m.addr, Type: m.typ.Name, Zone: m.zone, Spot: m.spot, Phase: p, AgeS: (at - m.rented).Seconds(),
+		})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/sim/host.go
@@ -0,0 +1,120 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"lichenstair/internal/core"
+	"lichenstair/internal/node"
+)
+
+// Host is the place of a controller; its process comes and goes.
+type Host struct {
+	w     *World
+	name  core.Host
+	addr  string
+	rate  float64 // of its steady clock
+	proc  *process
+	Ends  int
+	stall Clock // nothing runs before
+}
+
+func newHost(w *World, i int) *Host {
+	return &Host{w: w, name: core.Host(fmt.Sprintf("c%d", i)), addr: fmt.Sprintf("10.0.0.%d:8080", i+1), rate: 1 + w.between(-0.0005, 0.0005)}
+}
+
+// process is one run of a controller; it is the Loop and the Caller of its node.
+type process struct {
+	h       *Host
+	started Clock
+	node    *node.Node
+	dead    bool
+}
+
+// Start starts the controller, unless it runs.
+func (h *Host) Start() {
+	if h.proc != nil {
+		return
+	}
+	p := &process{h: h, started: h.w.now}
+	h.proc = p
+	cfg := h.w.Cfg
+	cfg.Host = h.name
+	p.node = node.New(&cfg, p, p, h.w.logger().With("host", h.name), rand.New(rand.NewPCG(h.w.Rand.Uint64(), 1)))
+	p.do(p.node.Start)
+}
+
+// Kill ends the controller without a word.
+func (h *Host) Kill() {
+	if h.proc != nil {
+		h.proc.dead = true
+		h.proc = nil
+		h.Ends++
+	}
+}
+
+// Restart ends the controller and starts it again after a while.
+func (h *Host) Restart(after time.Duration) {
+	h.Kill()
+	h.w.In(after, h.Start)
+}
+
+// Stall keeps the controller from running for a while: timers fire late, and
+// what arrives waits.
+func (h *Host) Stall(d time.Duration) { h.stall = max(h.stall, h.w.now+d) }
+
+func (p *process) do(f func()) {
+	at := max(p.h.w.now, p.h.stall)
+	if at == p.h.w.now {
+		if !p.dead {
+			f()
+		}
+		return
+	}
+	p.h.w.At(at, func() { p.do(f) })
+}
+
+func (p *process) Now() core.Time { return core.Time(float64(p.h.w.now-p.started) * p.h.rate) }
+
+func (p *process) Wall() core.Wall { return Epoch + core.Wall(p.h.w.now.Milliseconds()) }
+
+func (p *process) After(d time.Duration, f func()) {
+	p.h.w.In(time.Duration(float64(max(d, 0))/p.h.rate)+time.Millisecond, func() { p.do(f) })
+}
+
+func (p *process) Call(r core.Request, done func(core.Response)) {
+	p.h.w.exchange(party(p.h.name), r, func(res core.Response) { p.do(func() { done(res) }) })
+}
+
+func (h *Host) handle(_ party, r core.Request, reply func(core.Response)) {
+	p := h.proc
+	if p == nil {
+		return // a machine without power says nothing
+	}
+	p.do(func() {
+		answer := func(a node.Answer) {
+			if p.dead {
+				return
+			}
+			raw, err := json.Marshal(a.Body)
+			if err != nil {
+				panic(err)
+			}
+			reply(core.Response{Status: a.Status, Body: raw})
+		}
+		id, cancel := strings.CutSuffix(strings.TrimPrefix(r.Path, "/work/"), "/cancel")
+		switch {
+		case r.Path == "/hello":
+			p.node.Hello(r.Body, answer)
+		case r.Path == "/work":
+			p.node.Submit(r.Body, answer)
+		case cancel:
+			p.node.Cancel(core.JobID(id), answer)
+		default:
+			p.node.Get(core.JobID(id), answer)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/scenario.go
@@ -0,0 +1,219 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/config"
+)
+
+// Settings returns settings for a made-up deployment with n controllers. It is
+// nobody's: the numbers are chosen so that every path is used.
+func Settings(n int) config.Config {
+	return config.Config{
+		Nodes: n, Zones: []string{"a", "b"}, State: "10.2.0.1:2379", Cloud: "10.2.0.2:8443",
+		Teams: []config.Team{
+			{Name: "red", CPUs: 24, CPUsMax: 60, GPUsMax: 4}, {Name: "blue", CPUs: 32, CPUsMax: 90},
+			{Name: "green", CPUs: 16, CPUsMax: 40}, {Name: "grey", CPUs: 8, CPUsMax: 30},
+		},
+		Workers:  config.Workers{Report: 1500 * time.Millisecond, Lease: 12 * time.Second, GangWait: 30 * time.Second, GangPeer: 6 * time.Second, Cancel: 36 * time.Second},
+		StateLim: config.StateLimits{RPS: 150, WriteRPS: 45, ValueBytes: 8 << 10, TxnOps: 32},
+		CloudLim: config.CloudLimits{RPS: 2, ListLag: 5 * time.Second},
+		Limits:   config.Limits{CoreShare: 0.1, MemoryBytes: 70 << 20, Sockets: 500},
+		Operator: config.Operator{Tenure: 5 * time.Second, Blocks: n, Idle: 20 * time.Second, MemoryShare: 0.7, RetryAfter: time.Second},
+	}
+}
+
+// Types returns the machine types of the made-up deployment.
+func Types() []api.MachineType {
+	return []api.MachineType{
+		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 40, FetchGBPerS: 0.3, Price: 0.5, SpotPrice: 0.2, BootS: 20, Zones: []string{"a", "b"}},
+		{Name: "large", CPUs: 32, MemoryGB: 128, CacheGB: 60, FetchGBPerS: 0.4, Price: 2, SpotPrice: 0.8, BootS: 30, Zones: []string{"a", "b"}},
+		{Name: "accel", CPUs: 16, GPUs: 2, MemoryGB: 64, CacheGB: 60, FetchGBPerS: 0.4, Price: 4, SpotPrice: 1.5, BootS: 30, Zones: []string{"b"}},
+	}
+}
+
+// Populate gives a new world machines, capacity and controllers.
+func (w *World) Populate() {
+	w.Cloud.Types = Types()
+	for _, t := range w.Cloud.Types {
+		for _, z := range t.Zones {
+			w.Cloud.Capacity[kind(t.Name, z, false)] = 5
+			w.Cloud.Capacity[kind(t.Name, z, true)] = 3
+		}
+	}
+	for _, z := range w.Cfg.Zones {
+		w.Cloud.Add("small", z, false, 0)
+		w.Cloud.Add("large", z, false, 0)
+	}
+	for _, h := range w.Hosts {
+		w.In(time.Duration(w.between(0, 500))*time.Millisecond, h.Start)
+	}
+}
+
+// RandomJob makes up a job.
+func (w *World) RandomJob(n int) api.Job {
+	r := w.Rand
+	j := api.Job{
+		ID: fmt.Sprintf("req-%06d", n), Class: "some", Team: w.Cfg.Teams[r.IntN(len(w.Cfg.Teams))].Name, Form: api.FormArray,
+		Rank: []string{api.RankProduction, api.RankHigh, api.RankStandard, api.RankBestEffort}[r.IntN(4)], Tasks: 1 + r.IntN(40), CPUs: 1, MemoryGB: 2,
+		Image: fmt.Sprintf("img-%d", r.IntN(5)), ImageGB: w.between(0, 2), EstimateS: w.between(3, 40), Spot: r.IntN(2) == 0,
+	}
+	switch r.IntN(5) {
+	case 0:
+		j.Form, j.Tasks, j.CPUs, j.CheckpointS, j.SaveS = api.FormGang, 1+r.IntN(4), float64(1+r.IntN(7)), 10, 2
+		j.OneZone = r.IntN(2) == 0
+		j.Scatter = !j.OneZone && r.IntN(2) == 0
+	case 1:
+		j.CPUs, j.Tasks = w.between(2, 7), 1+r.IntN(8)
+		j.Types = []string{"large"}
+	case 2:
+		z := w.Cfg.Zones[r.IntN(2)]
+		j.Zone = &z
+		d := w.between(40, 200)
+		j.DeadlineS = &d
+	}
+	if j.Team == "red" && r.IntN(4) == 0 {
+		j.GPUs, j.Types, j.Zone, j.Tasks = 1, nil, nil, min(j.Tasks, 3)
+	}
+	return j
+}
+
+// Load submits jobs at random until a time, and cancels some.
+func (w *World) Load(until Clock, every time.Duration) {
+	n := 0
+	var next func()
+	next = func() {
+		if w.now >= until {
+			return
+		}
+		n++
+		j := w.RandomJob(n)
+		w.Users.Submit(j)
+		if w.chance(0.15) {
+			w.In(time.Duration(w.between(0, 60)*float64(time.Second)), func() { w.Users.Cancel(j.ID) })
+		}
+		if w.chance(0.03) {
+			w.Users.Hopeless(j.ID)
+			w.In(60*time.Second, func() { w.Users.Cancel(j.ID) })
+		}
+		w.Users.Stranger()
+		w.In(time.Duration(w.between(0.2, 2)*float64(every)), next)
+	}
+	w.In(3*time.Second, next)
+}
+
+// Faults lists the kinds of trouble that a run can meet, by name.
+var Faults = map[string]func(w *World){
+	"crash one":        func(w *World) { w.anyHost().Restart(3 * time.Second) },
+	"quick restart":    func(w *World) { w.anyHost().Restart(time.Duration(w.between(50, 400)) * time.Millisecond) },
+	"long absence":     func(w *World) { w.anyHost().Restart(45 * time.Second) },
+	"stall":            func(w *World) { w.anyHost().Stall(time.Duration(w.between(0.5, 20) * float64(time.Second))) },
+	"state outage":     func(w *World) { w.State.Outage(time.Duration(w.between(3, 40) * float64(time.Second))) },
+	"state slow":       func(w *World) { w.State.Slow(time.Duration(w.between(5, 30) * float64(time.Second))) },
+	"history lost":     func(w *World) { w.State.Forget() },
+	"cloud outage":     func(w *World) { w.Cloud.Outage(time.Duration(w.between(5, 40) * float64(time.Second))) },
+	"one node refused": func(w *World) { w.State.Refuse(w.anyHost().name, time.Duration(w.between(5, 60)*float64(time.Second))) },
+	"crash all": func(w *World) {
+		for _, h := range w.Hosts {
+			h.Restart(time.Duration(w.between(0.1, 6) * float64(time.Second)))
+		}
+	},
+	"roll": func(w *World) {
+		for i, h := range w.Hosts {
+			w.In(time.Duration(i)*15*time.Second, func() { h.Restart(3 * time.Second) })
+		}
+	},
+	"state answers lost": func(w *World) {
+		w.State.Lose = 0.1
+		w.In(20*time.Second, func() { w.State.Lose = 0 })
+	},
+	"cut from state":       func(w *World) { w.CutBoth(party(w.anyHost().name), "state", w.cutTime(), w.chance(0.5)) },
+	"one-way cut to state": func(w *World) { w.Cut(party(w.anyHost().name), "state", w.cutTime(), w.chance(0.7)) },
+	"one-way cut from state": func(w *World) {
+		w.Cut("state", party(w.anyHost().name), w.cutTime(), w.chance(0.7))
+	},
+	"cut off": func(w *World) {
+		h := party(w.anyHost().name)
+		w.CutBoth(h, "", w.cutTime(), w.chance(0.5))
+	},
+	"cut from workers": func(w *World) {
+		h := party(w.anyHost().name)
+		d, hold := w.cutTime(), w.chance(0.5)
+		for _, m := range w.Cloud.Up() {
+			w.CutBoth(h, party(m.addr), d, hold)
+		}
+	},
+	"worker cut": func(w *World) {
+		if m := w.anyMachine(); m != nil {
+			w.CutBoth(party(m.addr), "", w.cutTime(), w.chance(0.6))
+		}
+	},
+	"one-way worker cut": func(w *World) {
+		if m := w.anyMachine(); m != nil {
+			w.Cut(party(m.addr), "", w.cutTime(), w.chance(0.6))
+		}
+	},
+	"hang": func(w *World) {
+		if m := w.anyMachine(); m != nil {
+			m.Hang(time.Duration(w.between(2, 30) * float64(time.Second)))
+		}
+	},
+	"die": func(w *World) {
+		if m := w.anyMachine(); m != nil {
+			m.Die()
+		}
+	},
+	"faulty machine": func(w *World) {
+		if m := w.anyMachine(); m != nil {
+			m.Faulty = true
+		}
+	},
+	"spot wave": func(w *World) {
+		silent := w.chance(0.5)
+		for _, m := range w.Cloud.Up() {
+			switch {
+			case !m.spot:
+			case silent:
+				w.Cloud.Take(m)
+			default:
+				m.Notice(time.Duration(w.between(5, 20) * float64(time.Second)))
+			}
+		}
+	},
+	"late cloud": func(w *World) {
+		w.Cloud.Late = 0.5
+		w.In(30*time.Second, func() { w.Cloud.Late = 0 })
+	},
+	"unexpected machine": func(w *World) { w.Cloud.Add("small", "a", false, time.Second) },
+	"machines that never come up": func(w *World) {
+		w.Cloud.BootFail = 0.5
+		w.In(40*time.Second, func() { w.Cloud.BootFail = 0 })
+	},
+}
+
+func (w *World) cutTime() time.Duration {
+	return time.Duration(w.between(1, 50) * float64(time.Second))
+}
+
+func (w *World) anyHost() *Host { return w.Hosts[w.Rand.IntN(len(w.Hosts))] }
+
+func (w *World) anyMachine() *Machine {
+	up := w.Cloud.Up()
+	if len(up) == 0 {
+		return nil
+	}
+	return up[w.Rand.IntN(len(up))]
+}
+
+// Usage tells how many tasks of a team are on machines, for tests.
+func (c *Checker) Usage(team string) float64 { return c.cpus[team] }
+
+// OnMachines counts the tasks that are on machines.
+func (c *Checker) OnMachines() (n int) {
+	for _, places := range c.on {
+		n += len(places)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,102 @@
+package sim
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+)
+
+func faultNames() []string {
+	var names []string
+	for n := range Faults {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func play(t *testing.T, seed uint64, faults []string, length time.Duration) *World {
+	t.Helper()
+	var logs *os.File
+	if path := os.Getenv("SIM_LOG"); path != "" {
+		logs, _ = os.Create(path)
+		defer logs.Close()
+	}
+	w := NewWorld(Settings(3), seed, nil)
+	if logs != nil {
+		w.Logs = logs
+	}
+	w.Populate()
+	w.Load(length, 4*time.Second)
+	at := 30 * time.Second
+	for at < length-60*time.Second && len(faults) > 0 {
+		name := faults[w.Rand.IntN(len(faults))]
+		w.At(at, func() {
+			w.logger().Info("FAULT", "kind", name)
+			Faults[name](w)
+		})
+		at += time.Duration(w.between(2, 50) * float64(time.Second))
+	}
+	w.Run(length + 120*time.Second)
+	w.Check.End()
+	if len(w.Check.Broken) > 0 {
+		t.Fatalf("seed %d, faults %v: %v", seed, faults, w.Check.Broken)
+	}
+	return w
+}
+
+// seeds returns how many seeds a test plays; SIM_SEEDS asks for more.
+func seeds(n int) uint64 {
+	if s, err := strconv.Atoi(os.Getenv("SIM_SEEDS")); err == nil {
+		return uint64(s)
+	}
+	return uint64(n)
+}
+
+// A day without trouble: everything that can run is done in the end.
+func TestQuietDay(t *testing.T) {
+	for seed := range seeds(4) {
+		w := play(t, seed+1, nil, 300*time.Second)
+		if w.Users.Accepted < 40 || w.Users.Refused > 2 {
+			t.Fatalf("seed %d: accepted %d, refused %d", seed, w.Users.Accepted, w.Users.Refused)
+		}
+		over := 0
+		for _, j := range w.Users.jobs {
+			if j.final != "" {
+				over++
+			}
+		}
+		if over < w.Users.Accepted*9/10 {
+			t.Fatalf("seed %d: of %d jobs only %d are over", seed, w.Users.Accepted, over)
+		}
+	}
+}
+
+// Every kind of trouble alone.
+func TestEachFault(t *testing.T) {
+	for _, name := range faultNames() {
+		t.Run(name, func(t *testing.T) {
+			for seed := range seeds(3) {
+				w := play(t, 100+seed, []string{name}, 240*time.Second)
+				if w.Users.Done == 0 {
+					t.Fatalf("seed %d: nothing was done", seed)
+				}
+			}
+		})
+	}
+}
+
+// Troubles mixed at random.
+func TestMixedFaults(t *testing.T) {
+	for seed := range seeds(25) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := play(t, 1000+seed, faultNames(), 300*time.Second)
+			if w.Users.Done == 0 {
+				t.Fatal("nothing was done")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sim/state.go
@@ -0,0 +1,327 @@
+package sim
+
+import (
+	"encoding/json"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+)
+
+// StateService is a stand-in for the state service.
+type StateService struct {
+	w        *World
+	ring     uint64
+	keys     map[string]*entry
+	log      []api.Event
+	floor    uint64
+	leases   map[uint64]*lease
+	nextID   uint64
+	watches  []*watch
+	down     Clock
+	slow     Clock
+	refused  map[party]Clock // nodes that get 503 until
+	requests limit
+	writes   limit
+	Refusals int
+	Lose     float64 // share of answers that are lost after the work was done
+}
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	tenure  uint64
+}
+
+type lease struct {
+	ttl     time.Duration
+	due     Clock
+	version int
+}
+
+type watch struct {
+	from   party
+	prefix string
+	after  uint64
+	due    Clock
+	reply  func(core.Response)
+	over   bool
+}
+
+type limit struct {
+	rate, level float64
+	at          Clock
+}
+
+func (l *limit) take(now Clock, n float64) bool {
+	l.level = min(l.rate, l.level+(now-l.at).Seconds()*l.rate)
+	l.at = now
+	if l.level < n {
+		return false
+	}
+	l.level -= n
+	return true
+}
+
+const keptEvents = 10_000
+
+func newStateService(w *World) *StateService {
+	lim := w.Cfg.StateLim
+	return &StateService{
+		w: w, keys: map[string]*entry{}, leases: map[uint64]*lease{}, refused: map[party]Clock{},
+		requests: limit{rate: lim.RPS, level: lim.RPS}, writes: limit{rate: lim.WriteRPS, level: lim.WriteRPS},
+	}
+}
+
+// Outage makes the service answer 503 for a while; afterwards every lease has
+// its full time again.
+func (s *StateService) Outage(d time.Duration) {
+	s.down = max(s.down, s.w.now+d)
+	s.w.At(s.down, func() {
+		for id := range s.leases {
+			s.extend(id)
+		}
+		s.wake()
+	})
+}
+
+// Refuse makes the service answer 503 to one controller for a while.
+func (s *StateService) Refuse(h core.Host, d time.Duration) {
+	s.refused[party(h)] = s.w.now + d
+	s.w.In(d, s.wake)
+}
+
+// Slow makes answers take long for a while.
+func (s *StateService) Slow(d time.Duration) { s.slow = s.w.now + d }
+
+func (s *StateService) out(from party) bool { return s.w.now < s.down || s.w.now < s.refused[from] }
+
+func (s *StateService) handle(from party, r core.Request, reply func(core.Response)) {
+	delay := time.Duration(s.w.between(1, 8) * float64(time.Millisecond))
+	switch {
+	case s.w.now < s.slow:
+		delay = time.Duration(s.w.between(100, 2500) * float64(time.Millisecond))
+	case s.w.chance(0.01):
+		delay = time.Duration(s.w.between(100, 500) * float64(time.Millisecond))
+	}
+	s.w.In(delay, func() { s.serve(from, r, reply) })
+}
+
+func answer(status int, body any) core.Response {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return core.Response{Status: status, Body: raw}
+}
+
+func (s *StateService) serve(from party, r core.Request, reply func(core.Response)) {
+	if s.out(from) {
+		reply(answer(503, api.Error{Error: "trouble"}))
+		return
+	}
+	if !s.requests.take(s.w.now, 1) {
+		s.Refusals++
+		reply(answer(429, api.Error{Error: "too many requests"}))
+		return
+	}
+	path, query, _ := strings.Cut(r.Path, "?")
+	q, _ := url.ParseQuery(query)
+	send := reply
+	if s.Lose > 0 && path != "/watch" && s.w.chance(s.Lose) {
+		send = func(core.Response) {}
+	}
+	switch {
+	case path == "/txn":
+		s.txn(r.Body, send)
+	case path == "/store":
+		s.page(q, send)
+	case path == "/watch":
+		after, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+		block, _ := strconv.Atoi(q.Get("blockMs"))
+		w := &watch{from: from, prefix: q.Get("prefix"), after: after, due: s.w.now + time.Duration(block)*time.Millisecond, reply: reply}
+		if !s.answerWatch(w) {
+			s.watches = append(s.watches, w)
+			s.w.At(w.due, s.wake)
+		}
+	case path == "/grants":
+		var t api.TenureRequest
+		if json.Unmarshal(r.Body, &t) != nil || t.TTLMS < 100 {
+			send(answer(400, api.Error{Error: "malformed"}))
+			return
+		}
+		s.nextID++
+		s.leases[s.nextID] = &lease{ttl: time.Duration(t.TTLMS) * time.Millisecond}
+		s.extend(s.nextID)
+		send(answer(200, api.TenureAnswer{Tenure: s.nextID}))
+	case strings.HasPrefix(path, "/grants/"):
+		rest, renew := strings.CutSuffix(strings.TrimPrefix(path, "/grants/"), "/renew")
+		id, _ := strconv.ParseUint(rest, 10, 64)
+		if s.leases[id] == nil {
+			send(answer(404, api.Error{Error: "no such lease"}))
+			return
+		}
+		if renew {
+			s.extend(id)
+		} else {
+			s.end(id)
+		}
+		send(answer(200, struct{}{}))
+	default:
+		send(answer(400, api.Error{Error: "malformed"}))
+	}
+}
+
+func (s *StateService) extend(id uint64) {
+	l := s.leases[id]
+	l.version++
+	v := l.version
+	l.due = s.w.now + l.ttl
+	s.w.In(l.ttl+time.Duration(s.w.between(0, 100))*time.Millisecond, func() {
+		if s.leases[id] == l && l.version == v && s.w.now >= s.down {
+			s.end(id)
+		}
+	})
+}
+
+func (s *StateService) end(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	for k, e := range s.keys {
+		if e.tenure == id {
+			gone = append(gone, k)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	sort.Strings(gone)
+	s.ring++
+	for _, k := range gone {
+		delete(s.keys, k)
+		s.log = append(s.log, api.Event{Remove: k, Version: s.ring})
+	}
+	s.wake()
+}
+
+func (s *StateService) txn(body []byte, reply func(core.Response)) {
+	var t api.Txn
+	lim := s.w.Cfg.StateLim
+	if json.Unmarshal(body, &t) != nil || len(body) > 64<<10 || len(t.Then) > lim.TxnOps || len(t.If) > 4*lim.TxnOps {
+		s.w.Check.fail("malformed transaction: %.200s", body)
+		reply(answer(400, api.Error{Error: "malformed"}))
+		return
+	}
+	for _, c := range t.Then {
+		if len(c.Value) > lim.ValueBytes {
+			s.w.Check.fail("value too large: %s", c.Set)
+			reply(answer(400, api.Error{Error: "malformed"}))
+			return
+		}
+	}
+	if !s.writes.take(s.w.now, float64(len(t.Then))) {
+		s.Refusals++
+		reply(answer(429, api.Error{Error: "too many changes"}))
+		return
+	}
+	for _, c := range t.Then {
+		if c.Tenure != 0 && s.leases[c.Tenure] == nil {
+			reply(answer(400, api.Error{Error: "no such lease"}))
+			return
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		v := uint64(0)
+		if e := s.keys[c.Key]; e != nil {
+			v = e.version
+		}
+		if v != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		reply(answer(409, api.TxnAnswer{Revision: s.ring, Failed: failed}))
+		return
+	}
+	if len(t.Then) > 0 {
+		s.ring++
+		for _, c := range t.Then {
+			if c.Remove != "" {
+				if s.keys[c.Remove] != nil {
+					delete(s.keys, c.Remove)
+					s.log = append(s.log, api.Event{Remove: c.Remove, Version: s.ring})
+				}
+				continue
+			}
+			s.keys[c.Set] = &entry{c.Value, s.ring, c.Tenure}
+			s.log = append(s.log, api.Event{Set: c.Set, Value: c.Value, Version: s.ring})
+		}
+		if over := len(s.log) - keptEvents; over > 0 {
+			s.floor = s.log[over-1].Version
+			s.log = append([]api.Event{}, s.log[over:]...)
+		}
+		s.wake()
+	}
+	reply(answer(200, api.TxnAnswer{Revision: s.ring}))
+}
+
+// Forget drops the history, so that watches from before get 410.
+func (s *StateService) Forget() { s.floor, s.log = s.ring, nil }
+
+func (s *StateService) page(q url.Values, reply func(core.Response)) {
+	most, _ := strconv.Atoi(q.Get("most"))
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("from") {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	p := api.ItemPage{Items: []api.Item{}, Revision: s.ring}
+	for _, k := range names {
+		if len(p.Items) == min(most, 1000) {
+			p.More = true
+			break
+		}
+		e := s.keys[k]
+		p.Items = append(p.Items, api.Item{Key: k, Value: e.value, Version: e.version, Tenure: e.tenure})
+	}
+	reply(answer(200, p))
+}
+
+func (s *StateService) answerWatch(w *watch) bool {
+	if s.out(w.from) {
+		return false // an open watch waits
+	}
+	if w.after < s.floor {
+		w.reply(answer(410, api.Error{Error: "too old"}))
+		return true
+	}
+	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > w.after })
+	a := api.WatchAnswer{Revision: s.ring, Events: []api.Event{}}
+	for _, e := range s.log[i:] {
+		if strings.HasPrefix(e.Set+e.Remove, w.prefix) {
+			a.Events = append(a.Events, e)
+		}
+	}
+	if len(a.Events) == 0 && s.w.now < w.due {
+		return false
+	}
+	w.reply(answer(200, a))
+	return true
+}
+
+func (s *StateService) wake() {
+	keep := s.watches[:0]
+	for _, w := range s.watches {
+		if !s.answerWatch(w) {
+			keep = append(keep, w)
+		}
+	}
+	s.watches = keep
+}
