--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -12,6 +12,7 @@
 	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/peer"
 	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
 	"lichenstair/internal/worker"
@@ -1042,6 +1043,24 @@
 	return api.Change{Set: key, Value: raw}
 }
 
+// Hint tells the other controllers how the block stands.
+func (h *Holder) Hint() (peer.BlockHint, []peer.RunningHint) {
+	hint := peer.BlockHint{Number: h.number, Granted: h.granted, Placing: h.state == placing}
+	var running []peer.RunningHint
+	for _, id := range core.Keys(h.jobs) {
+		hint.Waiting += max(h.jobs[id].waiting(), 0)
+		if n := h.Running(id); n > 0 {
+			running = append(running, peer.RunningHint{Job: id, Tasks: n})
+		}
+	}
+	for _, id := range core.Keys(h.machines) {
+		if m := h.machines[id]; m.state == live && m.empty() {
+			hint.Idle = append(hint.Idle, id)
+		}
+	}
+	return hint, running
+}
+
 // Running counts the tasks of a job that run, for display.
 func (h *Holder) Running(id core.JobID) int {
 	j := h.jobs[id]
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -38,9 +38,13 @@
 
 // Ready answers health checks.
 func (n *Node) Ready(reply Reply) {
-	if !n.mirror.Complete() || len(n.types()) == 0 {
+	switch {
+	case !n.mirror.Complete() || len(n.types()) == 0:
 		reply(n.later("starting"))
 		return
+	case n.cutOff():
+		reply(n.later("cut off from the state service, which others reach"))
+		return
 	}
 	reply(Answer{Status: 200, Body: struct{}{}})
 }
@@ -55,9 +59,7 @@
 		s.Phase = api.PhaseCancelled
 	default:
 		s.Phase, s.Done = api.PhaseQueued, min(e.Done.Len(), e.Tasks-1)
-		for _, h := range n.holders {
-			s.Running += h.Running(id)
-		}
+		s.Running = n.running(id)
 		if s.Running > 0 {
 			s.Phase = api.PhaseRunning
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,9 +48,11 @@
 	leader     *leader.Leader
 	holders    map[int]*block.Holder
 
-	creates  []*create
-	creating bool
-	stopped  bool
+	creates   []*create
+	creating  bool
+	stopped   bool
+	peers     map[core.Host]heard
+	broadcast func([]byte)
 }
 
 const (
@@ -58,9 +60,10 @@
 	indexEvery = time.Second
 )
 
-// New makes a node; Start begins its work.
-func New(cfg *config.Config, loop core.Loop, call core.Caller, log *slog.Logger, rnd *rand.Rand) *Node {
-	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, holders: map[int]*block.Holder{}}
+// New makes a node; Start begins its work. broadcast sends a frame to the other
+// controllers.
+func New(cfg *config.Config, loop core.Loop, call core.Caller, broadcast func([]byte), log *slog.Logger, rnd *rand.Rand) *Node {
+	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]heard{}}
 	n.state = state.NewClient(loop, call, cfg.State, cfg.StateLim, cfg.Nodes)
 	n.mirror = state.NewMirror(loop, n.state, log)
 	n.cloud = cloud.NewClient(loop, call, cfg.Cloud, cfg.CloudLim)
@@ -74,6 +77,7 @@
 	n.mirror.Start()
 	n.loop.After(tick, n.tick)
 	n.index()
+	n.beat()
 }
 
 // Stop ends the node's work; a stopped node does nothing more.
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,189 @@
+// Package peer carries hints between controllers over TCP, in a binary format
+// of our own. A hint speeds things up; nothing that must hold depends on it.
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"time"
+
+	"lichenstair/internal/core"
+)
+
+// A frame is: 'l' 's', a version, a kind, the length of the payload (four
+// bytes, big endian), and the payload. Numbers in a payload are varints, texts
+// have their length before them. A receiver drops kinds it does not know, so
+// that kinds can be added; a change of a payload needs a new version.
+const (
+	magic0, magic1 = 'l', 's'
+	version        = 1
+	headerSize     = 8
+	// MaxPayload bounds a frame.
+	MaxPayload = 32 << 10
+
+	kindBeat = 1
+)
+
+// Beat is what a controller tells the others, about twice a second.
+type Beat struct {
+	Host   core.Host
+	Tenure core.Tenure
+	// Contact is how long ago the state service proved the sender up to date.
+	Contact time.Duration
+	Blocks  []BlockHint
+	Running []RunningHint
+}
+
+// BlockHint is what a holder tells of its block.
+type BlockHint struct {
+	Number  int
+	Granted core.Term
+	Placing bool
+	Waiting int // tasks
+	Idle    []core.MachineID
+}
+
+// RunningHint counts the tasks of a job that run.
+type RunningHint struct {
+	Job   core.JobID
+	Tasks int
+}
+
+const (
+	maxBlocks  = 64
+	maxIdle    = 64
+	maxRunning = 200
+)
+
+// Encode makes a frame of a beat; what exceeds its bounds is left out.
+func Encode(b Beat) []byte {
+	p := make([]byte, headerSize, 256)
+	p = putText(p, string(b.Host))
+	p = binary.AppendUvarint(p, uint64(b.Tenure))
+	p = binary.AppendUvarint(p, uint64(max(b.Contact, 0)/time.Millisecond))
+	blocks := b.Blocks[:min(len(b.Blocks), maxBlocks)]
+	p = binary.AppendUvarint(p, uint64(len(blocks)))
+	for _, h := range blocks {
+		p = binary.AppendUvarint(p, uint64(h.Number))
+		p = binary.AppendUvarint(p, uint64(h.Granted))
+		placing := byte(0)
+		if h.Placing {
+			placing = 1
+		}
+		p = append(p, placing)
+		p = binary.AppendUvarint(p, uint64(h.Waiting))
+		idle := h.Idle[:min(len(h.Idle), maxIdle)]
+		p = binary.AppendUvarint(p, uint64(len(idle)))
+		for _, id := range idle {
+			p = putText(p, string(id))
+		}
+	}
+	running := b.Running[:min(len(b.Running), maxRunning)]
+	p = binary.AppendUvarint(p, uint64(len(running)))
+	for _, r := range running {
+		p = putText(p, string(r.Job))
+		p = binary.AppendUvarint(p, uint64(r.Tasks))
+	}
+	p[0], p[1], p[2], p[3] = magic0, magic1, version, kindBeat
+	binary.BigEndian.PutUint32(p[4:], uint32(len(p)-headerSize))
+	return p
+}
+
+func putText(p []byte, s string) []byte {
+	s = s[:min(len(s), 255)]
+	return append(append(p, byte(len(s))), s...)
+}
+
+var errMalformed = errors.New("malformed message")
+
+// ReadFrame reads one frame.
+func ReadFrame(r io.Reader) ([]byte, error) {
+	head := make([]byte, headerSize)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[4:])
+	if head[0] != magic0 || head[1] != magic1 || n > MaxPayload {
+		return nil, errMalformed
+	}
+	frame := append(head, make([]byte, n)...)
+	if _, err := io.ReadFull(r, frame[headerSize:]); err != nil {
+		return nil, err
+	}
+	return frame, nil
+}
+
+// Decode reads a frame. ok is false for kinds and versions that are unknown,
+// which are not an error.
+func Decode(frame []byte) (b Beat, ok bool, err error) {
+	if len(frame) < headerSize || frame[0] != magic0 || frame[1] != magic1 || int(binary.BigEndian.Uint32(frame[4:])) != len(frame)-headerSize {
+		return b, false, errMalformed
+	}
+	if frame[2] != version || frame[3] != kindBeat {
+		return b, false, nil
+	}
+	d := decoder{rest: frame[headerSize:]}
+	b.Host = core.Host(d.text())
+	b.Tenure = core.Tenure(d.number())
+	b.Contact = time.Duration(min(d.number(), 1<<32)) * time.Millisecond
+	for range d.count(maxBlocks) {
+		h := BlockHint{Number: int(d.number()), Granted: core.Term(d.number()), Placing: d.byte() == 1, Waiting: int(d.number())}
+		for range d.count(maxIdle) {
+			h.Idle = append(h.Idle, core.MachineID(d.text()))
+		}
+		b.Blocks = append(b.Blocks, h)
+	}
+	for range d.count(maxRunning) {
+		b.Running = append(b.Running, RunningHint{core.JobID(d.text()), int(d.number())})
+	}
+	if d.failed || len(d.rest) > 0 {
+		return Beat{}, false, errMalformed
+	}
+	return b, true, nil
+}
+
+type decoder struct {
+	rest   []byte
+	failed bool
+}
+
+func (d *decoder) byte() byte {
+	if len(d.rest) == 0 {
+		d.failed = true
+		return 0
+	}
+	b := d.rest[0]
+	d.rest = d.rest[1:]
+	return b
+}
+
+func (d *decoder) number() uint64 {
+	n, size := binary.Uvarint(d.rest)
+	if size <= 0 {
+		d.failed, d.rest = true, nil
+		return 0
+	}
+	d.rest = d.rest[size:]
+	return n
+}
+
+func (d *decoder) count(most int) int {
+	n := d.number()
+	if n > uint64(most) {
+		d.failed, d.rest = true, nil
+		return 0
+	}
+	return int(n)
+}
+
+func (d *decoder) text() string {
+	n := int(d.byte())
+	if n > len(d.rest) {
+		d.failed, d.rest = true, nil
+		return ""
+	}
+	s := string(d.rest[:n])
+	d.rest = d.rest[n:]
+	return s
+}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/node"
 )
@@ -20,6 +21,8 @@
 	proc  *process
 	Ends  int
 	stall Clock // nothing runs before
+
+	healthy, lastGood bool // to the load balancer
 }
 
 func newHost(w *World, i int) *Host {
@@ -43,7 +46,12 @@
 	h.proc = p
 	cfg := h.w.Cfg
 	cfg.Host = h.name
-	p.node = node.New(&cfg, p, p, h.w.logger().With("host", h.name), rand.New(rand.NewPCG(h.w.Rand.Uint64(), 1)))
+	for _, o := range h.w.Hosts {
+		if o != h {
+			cfg.Peers = append(cfg.Peers, config.Peer{Host: o.name, Addr: o.addr})
+		}
+	}
+	p.node = node.New(&cfg, p, p, p.broadcast, h.w.logger().With("host", h.name), rand.New(rand.NewPCG(h.w.Rand.Uint64(), 1)))
 	p.do(p.node.Start)
 }
 
@@ -89,6 +97,31 @@
 	p.h.w.exchange(party(p.h.name), r, func(res core.Response) { p.do(func() { done(res) }) })
 }
 
+func (p *process) broadcast(frame []byte) {
+	for _, o := range p.h.w.Hosts {
+		if o != p.h && !p.dead {
+			p.h.w.carry(party(p.h.name), party(o.name), func() {
+				if q := o.proc; q != nil {
+					q.do(func() { q.node.Peer(frame) })
+				}
+			})
+		}
+	}
+}
+
+// probe asks for the controller's health about once a second, as the load
+// balancer does: twice in a row decides.
+func (h *Host) probe() {
+	h.w.In(time.Second, h.probe)
+	h.w.exchange("users", core.Request{Addr: h.addr, Method: "GET", Path: "/ready", Timeout: time.Second}, func(res core.Response) {
+		good := res.Status == 200
+		if good == h.lastGood {
+			h.healthy = good
+		}
+		h.lastGood = good
+	})
+}
+
 func (h *Host) handle(_ party, r core.Request, reply func(core.Response)) {
 	p := h.proc
 	if p == nil {
@@ -107,6 +140,8 @@
 		}
 		id, cancel := strings.CutSuffix(strings.TrimPrefix(r.Path, "/work/"), "/cancel")
 		switch {
+		case r.Path == "/ready":
+			p.node.Ready(answer)
 		case r.Path == "/hello":
 			p.node.Hello(r.Body, answer)
 		case r.Path == "/work":
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -49,6 +49,7 @@
 	}
 	for _, h := range w.Hosts {
 		w.In(time.Duration(w.between(0, 500))*time.Millisecond, h.Start)
+		h.probe()
 	}
 }
 
