--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lichenstair/api"
+	"lichenstair/internal/capacity"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/peer"
@@ -28,6 +29,7 @@
 	State   *state.Client
 	Workers *worker.Client
 	Types   func() map[string]api.MachineType
+	Kept    func() map[capacity.Kind]bool
 	Policy  placement.Policy
 }
 
@@ -628,7 +630,7 @@
 	quiet := max(3*w.Report, 2*time.Second)
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
-		if !m.fenced && m.up && m.state != lapsed {
+		if !m.fenced && m.state != lapsed {
 			h.fence(m)
 		}
 		if m.state == live && now.Sub(m.heard) > quiet {
@@ -677,6 +679,7 @@
 	h.passAt = now
 	h.dirty = false
 	types := h.Types()
+	kept := h.Kept()
 	teams := map[string]*placement.Team{}
 	for _, t := range h.Config.Teams {
 		teams[t.Name] = &placement.Team{Max: placement.Need{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
@@ -695,7 +698,7 @@
 		if !h.usable(m) {
 			continue
 		}
-		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now}
+		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
 		for _, s := range m.slots {
 			if s.booked() {
 				p.Releases = append(p.Releases, placement.Release{At: h.ends(s, now), Need: s.need})
@@ -704,6 +707,9 @@
 		machines = append(machines, p)
 	}
 	jobs := h.candidates(now)
+	for _, j := range jobs {
+		j.NoChoice = capacity.NoChoice(j, types, kept)
+	}
 	res := placement.Pass(now, machines, jobs, teams, h.Policy)
 	for _, st := range res.Starts {
 		h.plan(h.jobs[st.Job], h.machines[st.Machine])
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -48,6 +48,7 @@
 	Machines []*Machine
 	Types    map[string]api.MachineType
 	TeamMax  map[string]float64
+	Kept     map[Kind]bool
 	Closed   map[Offer]bool // kinds that were refused lately
 	Idle     time.Duration
 }
@@ -113,6 +114,7 @@
 	}
 	var open []unmet
 	for _, j := range jobs {
+		j.NoChoice = NoChoice(&j.Job, in.Types, in.Kept)
 		n := p.wants(j)
 		if n <= 0 {
 			continue
@@ -215,6 +217,11 @@
 	return best
 }
 
+// keeps tells whether a kind of machine is kept from an array for gangs.
+func (p *planner) keeps(j *Job, typ string, spot bool) bool {
+	return !j.Gang && p.in.Kept[Kind{typ, spot}] && !j.NoChoice
+}
+
 // claim takes room for up to n tasks on machines that suit, and tells how many.
 func (p *planner) claim(j *Job, n int, suits func(*room) bool) int {
 	got := 0
@@ -222,7 +229,7 @@
 		if got >= n {
 			break
 		}
-		if !suits(r) || !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
+		if !suits(r) || !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) || p.keeps(j, r.m.Type, r.m.Spot) {
 			continue
 		}
 		for got < n && j.Need.Fits(r.free) && j.ZoneAllows(r.m.Zone, j.Zones) {
@@ -256,7 +263,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				o := Offer{name, zone, spot}
-				if p.in.Closed[o] || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
+				if p.in.Closed[o] || p.keeps(j, name, spot) || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
 					continue
 				}
 				price := t.Price
--- /dev/null
+++ b/internal/capacity/shapes.go
@@ -0,0 +1,95 @@
+package capacity
+
+import (
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+)
+
+// Shape is what a task of a gang needs of its machine.
+type Shape struct {
+	Need  placement.Need
+	Types string // the allowed types, joined
+	Spot  bool
+}
+
+// Shapes remembers what kinds of gangs have come lately, so that machines that
+// alone can take them are not filled with what fits elsewhere.
+type Shapes struct {
+	seen map[Shape]sighting
+}
+
+type sighting struct {
+	at  core.Time
+	job placement.Job
+}
+
+const (
+	remembered = 10 * time.Minute
+	maxShapes  = 64
+)
+
+// Note remembers a gang.
+func (s *Shapes) Note(now core.Time, spec *api.Job) {
+	if spec.Form != api.FormGang {
+		return
+	}
+	if s.seen == nil {
+		s.seen = map[Shape]sighting{}
+	}
+	k := Shape{Need: placement.Need{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB}, Spot: spec.Spot}
+	for _, t := range spec.Types {
+		k.Types += t + " "
+	}
+	if _, ok := s.seen[k]; !ok && len(s.seen) >= maxShapes {
+		return
+	}
+	s.seen[k] = sighting{now, placement.Job{Need: k.Need, Types: spec.Types, Spot: spec.Spot}}
+}
+
+// NoChoice tells whether a job's tasks fit only on kinds that are kept.
+func NoChoice(j *placement.Job, types map[string]api.MachineType, kept map[Kind]bool) bool {
+	for name, t := range types {
+		if j.Need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) && j.Allows(name, j.Zone, false) &&
+			(!kept[Kind{name, false}] || j.Spot && !kept[Kind{name, true}]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Kind is a type of machine, spot or ordinary.
+type Kind struct {
+	Type string
+	Spot bool
+}
+
+// Kept lists the kinds of machine that are kept for gangs: a gang that came
+// lately fits there, and does not fit on some other type that arrays can use.
+func (s *Shapes) Kept(now core.Time, types map[string]api.MachineType) map[Kind]bool {
+	out := map[Kind]bool{}
+	for k, seen := range s.seen {
+		if now.Sub(seen.at) > remembered {
+			delete(s.seen, k)
+			continue
+		}
+		var fit []string
+		for name, t := range types {
+			if k.Need.Fits(placement.Need{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}) && seen.job.Allows(name, "", false) {
+				fit = append(fit, name)
+			}
+		}
+		if len(fit) == len(types) {
+			continue
+		}
+		for _, name := range fit {
+			out[Kind{name, false}] = true
+			if k.Spot {
+				out[Kind{name, true}] = true
+			}
+		}
+	}
+	return out
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -28,6 +28,7 @@
 	Mirror *state.Mirror
 	State  *state.Client
 	Cloud  *cloud.Client
+	Kept   func() map[capacity.Kind]bool
 }
 
 // Leader acts for one term.
@@ -594,7 +595,7 @@
 
 // plan asks the capacity package what should be where.
 func (l *Leader) plan(pool *state.Pool, now core.Time, wall core.Wall) capacity.Plan {
-	in := capacity.Input{Now: wall, Types: l.priced(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
+	in := capacity.Input{Now: wall, Types: l.priced(), Kept: l.Kept(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
 	for o, until := range l.closed {
 		if until > now {
 			in.Closed[o] = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 
 	"lichenstair/api"
 	"lichenstair/internal/block"
+	"lichenstair/internal/capacity"
 	"lichenstair/internal/cloud"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
@@ -51,6 +52,7 @@
 	creates   []*create
 	creating  bool
 	stopped   bool
+	shapes    capacity.Shapes
 	peers     map[core.Host]heard
 	broadcast func([]byte)
 }
@@ -219,6 +221,11 @@
 	if n.stopped {
 		return
 	}
+	for _, id := range t.Jobs {
+		if e := n.mirror.Jobs[id]; e != nil && e.Spec != nil {
+			n.shapes.Note(n.loop.Now(), e.Spec)
+		}
+	}
 	n.follow()
 	for _, num := range core.Keys(n.holders) {
 		n.holders[num].Changed(t)
@@ -238,7 +245,7 @@
 	}
 	if ours && n.leader == nil {
 		n.leader = leader.New(leader.Env{
-			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud,
+			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud, Kept: n.kept,
 		}, l)
 	}
 	for _, num := range core.Keys(n.holders) {
@@ -253,10 +260,12 @@
 		b := n.mirror.Blocks[num]
 		if n.holders[num] == nil && n.tenure != 0 && b.Record.Holder == n.cfg.Host && b.Record.Tenure == n.tenure {
 			n.holders[num] = block.New(block.Env{
-				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types,
+				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types, Kept: n.kept,
 			}, b.Record)
 		}
 	}
 }
 
+func (n *Node) kept() map[capacity.Kind]bool { return n.shapes.Kept(n.loop.Now(), n.types()) }
+
 func (n *Node) types() map[string]api.MachineType { return n.mirror.Types.Record }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,6 +53,8 @@
 	Booked   Need
 	Releases []Release
 	Images   map[string]bool
+	// Kept: the machine is kept for gangs, which do not fit elsewhere.
+	Kept bool
 	// Shunned: the machine has failed tasks lately; it is taken last.
 	Shunned bool
 }
@@ -81,6 +83,8 @@
 	Zones map[string]int
 	// Avoid names machines on which the job must not be tried for now.
 	Avoid map[core.MachineID]bool
+	// NoChoice: the job's tasks fit only on machines that are kept for gangs.
+	NoChoice bool
 	// Guaranteed: the job fits into what its team is guaranteed.
 	Guaranteed bool
 }
@@ -314,7 +318,7 @@
 	var pick *Machine
 	var top rating
 	for _, m := range p.machines {
-		if !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.ZoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
+		if m.Kept && !j.NoChoice || !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.ZoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
 			continue
 		}
 		if p.policy.FirstFit {
@@ -470,7 +474,7 @@
 			if i == at || options[i].m == m || jobs[i].Team == jobs[at].Team {
 				stale[i] = true
 			} else if options[i].m != nil && jobs[i].Need.Fits(p.beside(jobs[i])(m)) &&
-				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].ZoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] {
+				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].ZoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] && (!m.Kept || jobs[i].NoChoice) {
 				if r := rate(jobs[i], m); r.better(options[i].r) {
 					options[i] = option{m, r}
 				}
--- a/internal/sim/checker.go
+++ b/internal/sim/checker.go
@@ -89,8 +89,9 @@
 // CancelAsked tells that a user wants a job cancelled.
 func (c *Checker) CancelAsked(id string) { c.jobs[id].asked = true }
 
-// Told tells what phase a user was told.
-func (c *Checker) Told(id, phase string) {
+// Told tells what phase a user was told, having asked at a time. An answer to
+// what was asked before the user knew better may be older than what it knows.
+func (c *Checker) Told(id, phase string, asked Clock) {
 	j := c.jobs[id]
 	if j == nil {
 		c.fail("invented: %s", id)
@@ -98,7 +99,7 @@
 	}
 	j.accepted = true
 	switch {
-	case j.final != "" && phase != j.final:
+	case j.final != "" && phase != j.final && asked >= j.toldAt:
 		c.fail("went_back: %s was %s and is called %s", id, j.final, phase)
 	case phase == api.PhaseCancelled && !j.asked:
 		c.fail("went_back: %s is called cancelled, which nobody asked for", id)
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -54,6 +54,7 @@
 
 func (u *Users) try(j *userJob) {
 	raw, _ := json.Marshal(j.spec)
+	asked := u.w.now
 	u.call("POST", "/work", raw, func(res core.Response) {
 		var s api.JobStatus
 		switch res.Status {
@@ -67,7 +68,7 @@
 				j.accepted = true
 				u.w.In(time.Second, func() { u.poll(j) })
 			}
-			u.w.Check.Told(j.spec.ID, s.Phase)
+			u.w.Check.Told(j.spec.ID, s.Phase, asked)
 			if u.w.chance(0.05) {
 				u.w.In(time.Duration(u.w.between(1, 120))*time.Second, func() { u.try(j) })
 			}
@@ -89,7 +90,7 @@
 		switch {
 		case res.Status == 200 && json.Unmarshal(res.Body, &s) == nil:
 			u.w.Check.Polled(j.spec.ID, asked, true)
-			u.w.Check.Told(j.spec.ID, s.Phase)
+			u.w.Check.Told(j.spec.ID, s.Phase, asked)
 			if s.Phase == api.PhaseDone && j.final == "" {
 				u.Done++
 			}
@@ -112,10 +113,11 @@
 // Cancel cancels a job and keeps asking until that is answered.
 func (u *Users) Cancel(id string) {
 	u.w.Check.CancelAsked(id)
+	asked := u.w.now
 	u.call("POST", "/work/"+id+"/cancel", nil, func(res core.Response) {
 		var s api.JobStatus
 		if res.Status == 200 && json.Unmarshal(res.Body, &s) == nil {
-			u.w.Check.Told(id, s.Phase)
+			u.w.Check.Told(id, s.Phase, asked)
 			return
 		}
 		if res.Status == 404 && u.jobs[id].accepted {
@@ -130,7 +132,7 @@
 	id := fmt.Sprintf("req-9%08d", u.w.Rand.IntN(1e8))
 	u.call("GET", "/work/"+id, nil, func(res core.Response) {
 		if res.Status == 200 {
-			u.w.Check.Told(id, "")
+			u.w.Check.Told(id, "", u.w.now)
 		}
 	})
 }
