Machines' records in parts, so that a fleet of any size fits the values

Parts are keys of their own; each write is conditioned on the block and on the parts it changes, and what adds a machine also on a count of arrivals.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -70,6 +71,7 @@
 	passPause   = 150 * time.Millisecond
 	roundPause  = 250 * time.Millisecond
 	maxRounds   = 24
+	maxParts    = 12 // of machines' records, in one transaction
 	shunTime    = 60 * time.Second
 	avoidTime   = 60 * time.Second
 	releaseIdle = 2 * time.Second
@@ -82,7 +84,7 @@
 		machines: map[core.MachineID]*machine{}, jobs: map[core.JobID]*job{},
 	}
 	h.Log = env.Log.With("block", rec.Number)
-	h.Log.Info("block granted to us", "term", rec.Term, "machines", len(rec.Machines), "teams", rec.Teams)
+	h.Log.Info("block granted to us", "term", rec.Term, "machines", h.Mirror.Shelf(rec.Number).Len(), "teams", rec.Teams)
 	h.follow(rec)
 	for _, id := range core.Keys(h.Mirror.Jobs) {
 		h.followJob(id)
@@ -136,7 +138,7 @@
 	if h.state == released {
 		return
 	}
-	if t.Blocks || t.Pool {
+	if t.Blocks || slices.Contains(t.Shelves, h.number) || slices.Contains(t.Shelves, state.PoolShelf) {
 		if b, ok := h.Mirror.Blocks[h.number]; ok {
 			h.follow(b.Record)
 			h.write()
@@ -160,7 +162,7 @@
 		h.term = rec.Term
 	}
 	listed := map[core.MachineID]bool{}
-	for _, r := range rec.Machines {
+	for r := range h.Mirror.Shelf(h.number).All() {
 		listed[r.ID] = true
 		m := h.machines[r.ID]
 		if m == nil {
@@ -191,7 +193,7 @@
 			h.flush(m)
 		}
 	}
-	for _, p := range h.Mirror.Pool.Record.Machines {
+	for p := range h.Mirror.Shelf(state.PoolShelf).All() {
 		if m := h.machines[p.ID]; m != nil && p.Fate == state.Gone && m.state != lapsed {
 			// The cloud has answered 200 to its return: it and all on it are gone.
 			h.clearMachine(m, "returned to the cloud")
@@ -752,7 +754,7 @@
 
 func (h *Holder) usable(m *machine) bool {
 	return m.state == live && m.fenced && m.notice == 0 && !m.asked && !m.lost && m.total.CPUs > 0 &&
-		(m.leaving == 0 || m.leaving != h.Mirror.Blocks[h.number].Version)
+		(m.leaving == 0 || m.leaving != h.Mirror.Shelf(h.number).VersionOf(m.id))
 }
 
 // pass plans starts.
@@ -913,7 +915,7 @@
 		return
 	}
 	t := api.Txn{If: []api.Condition{{Key: state.KeyBlock(h.number), Version: uint64(b.Version)}}}
-	h.writeBlock(&t, b.Record, b.Version)
+	h.writeMachines(&t)
 	h.writeDone(&t)
 	if len(t.Then) == 0 {
 		return
@@ -940,61 +942,41 @@
 	})
 }
 
-// writeBlock adds what is to change in the block's record.
-func (h *Holder) writeBlock(t *api.Txn, rec *state.Block, version core.Revision) {
+// writeMachines adds what is to change in the records of the block's machines.
+func (h *Holder) writeMachines(t *api.Txn) {
 	now := h.Loop.Now()
-	out := rec.Clone()
-	out.Machines = out.Machines[:0]
-	pool := h.Mirror.Pool.Record.Clone()
-	changed, poolChanged := false, false
-	for _, r := range rec.Machines {
+	own, pool := h.Mirror.Shelf(h.number), h.Mirror.Shelf(state.PoolShelf)
+	edit := h.Mirror.Edit(h.Config.StateLim, min(h.Config.StateLim.TxnOps/2, maxParts), h.number+1)
+	for r := range own.All() {
 		m := h.machines[r.ID]
 		if m == nil {
-			out.Machines = append(out.Machines, r)
 			continue
 		}
-		if i := pool.Find(r.ID); i >= 0 && pool.Machines[i].Fate == state.Gone {
-			if m.empty() {
-				changed = true // it is gone; the leader forgets it once no block lists it
-				continue
-			}
+		if p, ok := pool.Find(r.ID); ok && p.Fate == state.Gone && m.empty() {
+			edit.Remove(h.number, r.ID) // it is gone; the leader forgets it once no block lists it
+			continue
 		}
+		version := own.VersionOf(r.ID)
 		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && m.state == live && (m.leaving == version || h.releasable(m, now)) {
-			h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
 			free := r
-			free.Doomed = false
-			free.Up, free.Asked, free.Addr, free.Seen = false, false, m.addr, h.term
-			if i := pool.Find(r.ID); i >= 0 {
-				pool.Machines[i] = free
-			} else {
-				pool.Machines = append(pool.Machines, free)
+			free.Up, free.Asked, free.Doomed, free.Addr, free.Seen = false, false, false, m.addr, h.term
+			if edit.Move(h.number, state.PoolShelf, free) {
+				h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
+				m.leaving = version
 			}
-			m.leaving = version
-			changed, poolChanged = true, true
 			continue
 		}
+		was := r
 		if !m.up && !m.empty() || m.up && m.addr != "" && r.Addr != m.addr {
 			r.Up, r.Addr = true, m.addr
-			changed = true
 		}
-		if !r.Lost && h.shouldReturn(m, now) {
+		r.Lost = r.Lost || h.shouldReturn(m, now)
+		r.Doomed = m.notice != 0 || m.state == lapsed
+		if r != was && edit.Set(h.number, r) && r.Lost != was.Lost {
 			h.Log.Info("machine does not answer; it is to be returned", "machine", m.id, "state", m.state.String())
-			r.Lost = true
-			changed = true
-		}
-		if doomed := m.notice != 0 || m.state == lapsed; doomed != r.Doomed {
-			r.Doomed = doomed
-			changed = true
 		}
-		out.Machines = append(out.Machines, r)
-	}
-	if changed {
-		t.Then = append(t.Then, state.Put(state.KeyBlock(h.number), out))
-	}
-	if poolChanged {
-		t.If = append(t.If, api.Condition{Key: state.KeyPool, Version: uint64(h.Mirror.Pool.Version)})
-		t.Then = append(t.Then, state.Put(state.KeyPool, pool))
 	}
+	edit.Apply(t)
 }
 
 // vacant tells whether nothing is booked on a machine and nothing is left on it
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -195,9 +195,10 @@
 	t.Then = append(t.Then, state.Put(key, b))
 }
 
-func (l *Leader) setPool(t *api.Txn, p *state.Pool) {
-	t.If = append(t.If, api.Condition{Key: state.KeyPool, Version: uint64(l.Mirror.Pool.Version)})
-	t.Then = append(t.Then, state.Put(state.KeyPool, p))
+// underBlock makes a transaction depend on the grant of a block that it does
+// not write.
+func (l *Leader) underBlock(t *api.Txn, n int) {
+	t.If = append(t.If, api.Condition{Key: state.KeyBlock(n), Version: uint64(l.Mirror.Blocks[n].Version)})
 }
 
 // live lists the controllers with a tenure, by name.
@@ -230,10 +231,7 @@
 		first := l.draw(t, n)
 		for i := range n {
 			m := live[i%len(live)]
-			out[i] = &state.Block{Number: i, Holder: m.Host, Tenure: m.Tenure, Term: first + core.Term(i), Granted: first + core.Term(i), Machines: []state.Machine{}}
-		}
-		if l.Mirror.Pool.Version == 0 {
-			l.setPool(t, &state.Pool{Machines: []state.Machine{}})
+			out[i] = &state.Block{Number: i, Holder: m.Host, Tenure: m.Tenure, Term: first + core.Term(i), Granted: first + core.Term(i)}
 		}
 	}
 	numbers := []int{}
@@ -431,137 +429,135 @@
 // machines brings the pool and the blocks' machines to what the cloud lists
 // and what the plan wants.
 func (l *Leader) machines(t *api.Txn) {
-	now, wall := l.Loop.Now(), l.Loop.Wall()
-	pool := l.Mirror.Pool.Record.Clone()
-	poolChanged := false
-	out := map[int]*state.Block{}
-	edit := func(n int) *state.Block {
-		if out[n] == nil {
-			out[n] = l.Mirror.Blocks[n].Record.Clone()
-		}
-		return out[n]
-	}
-	inBlock := map[core.MachineID]int{}
-	for n, b := range l.Mirror.Blocks {
-		for _, m := range b.Record.Machines {
-			inBlock[m.ID] = n
-		}
-	}
-	// Returns that the cloud has confirmed.
-	for _, id := range core.Keys(l.done) {
-		i := pool.Find(id)
-		_, held := inBlock[id]
-		switch {
-		case i >= 0 && pool.Machines[i].Fate == state.Gone:
-			delete(l.done, id)
-		case i >= 0:
-			pool.Machines[i].Fate, pool.Machines[i].Since = state.Gone, wall
-			poolChanged = true
-		case held:
-			pool.Machines = append(pool.Machines, state.Machine{ID: id, Fate: state.Gone, Since: wall})
-			poolChanged = true
-		default:
-			delete(l.done, id)
-		}
-	}
-	// Machines that are gone stay in the pool while the list may still name them.
-	keep := pool.Machines[:0]
-	for _, m := range pool.Machines {
-		if _, held := inBlock[m.ID]; m.Fate == state.Gone && !held && wall-m.Since > core.Wall(3*l.Config.CloudLim.ListLag.Milliseconds()+20000) {
-			poolChanged = true
-			continue
-		}
-		keep = append(keep, m)
-	}
-	pool.Machines = keep
-	l.lookAtList(pool, inBlock, &poolChanged)
-	// Machines rented.
-	still := l.rented[:0]
-	for _, m := range l.rented {
-		if _, held := inBlock[m.ID]; held || pool.Find(m.ID) >= 0 {
-			continue
-		}
-		still = append(still, m)
-		pool.Machines = append(pool.Machines, m)
-		poolChanged = true
-	}
-	l.rented = still
-	plan := l.plan(pool, now, wall)
-	raise := map[int]bool{}
+	now := l.Loop.Now()
+	// Beside the parts, the counters of terms and arrivals and each block may be
+	// written.
+	edit := l.Mirror.Edit(l.Config.StateLim, l.Config.StateLim.TxnOps-len(l.Mirror.Blocks)-2, 0)
+	l.noteGone(edit)
+	l.lookAtList(edit)
+	l.noteRented(edit)
+	plan := l.plan(edit, now, l.Loop.Wall())
+	under := map[int]bool{} // blocks whose machines are written
+	raise := map[int]bool{} // of these, those that need a fresh term
 	for _, id := range core.Keys(plan.Assign) {
 		n := plan.Assign[id]
-		i := pool.Find(id)
-		if i < 0 || l.Mirror.Blocks[n].Record == nil {
+		m, ok := edit.Find(state.PoolShelf, id)
+		b := l.Mirror.Blocks[n].Record
+		if !ok || b == nil {
 			continue
 		}
-		b := edit(n)
-		if b.Size()+170 > l.Config.StateLim.ValueBytes {
-			continue
+		seen := m.Seen
+		m.Seen, m.Up, m.Asked, m.Lost, m.Doomed = 0, false, false, false, false
+		if !edit.Move(state.PoolShelf, n, m) {
+			break // the rest goes with the next transaction
 		}
-		m := pool.Machines[i]
-		if m.Seen >= b.Term {
+		under[n] = true
+		if seen >= b.Term {
 			raise[n] = true
 		}
-		m.Seen, m.Up, m.Asked, m.Lost, m.Doomed = 0, false, false, false, false
-		b.Machines = append(b.Machines, m)
-		pool.Machines = append(pool.Machines[:i], pool.Machines[i+1:]...)
-		poolChanged = true
 		l.note("machine goes to a block", "machine", id, "type", m.Type, "block", n)
 	}
 	for _, id := range plan.Ask {
-		n := inBlock[id]
-		if i := edit(n).Find(id); i >= 0 {
-			out[n].Machines[i].Asked = true
+		n, ok := l.Mirror.MachineBlock(id)
+		if !ok {
+			continue
+		}
+		m, _ := edit.Find(n, id)
+		m.Asked = true
+		if edit.Set(n, m) {
+			under[n] = true
 			l.note("machine is asked back", "machine", id, "block", n)
 		}
 	}
 	for _, id := range plan.Return {
-		if i := pool.Find(id); i >= 0 && pool.Machines[i].Fate == state.Free {
-			pool.Machines[i].Fate = state.Returning
-			poolChanged = true
-			l.note("machine is returned", "machine", id, "type", pool.Machines[i].Type)
+		if m, ok := edit.Find(state.PoolShelf, id); ok && m.Fate == state.Free {
+			m.Fate = state.Returning
+			if edit.Set(state.PoolShelf, m) {
+				l.note("machine is returned", "machine", id, "type", m.Type)
+			}
 		}
 	}
 	if len(raise) > 0 {
 		first := l.draw(t, len(raise))
-		k := core.Term(0)
-		for _, n := range core.Keys(raise) {
-			out[n].Term = first + k
-			k++
+		for k, n := range core.Keys(raise) {
+			b := l.Mirror.Blocks[n].Record.Clone()
+			b.Term = first + core.Term(k)
+			l.setBlock(t, b)
 		}
 	}
-	for _, n := range core.Keys(out) {
-		l.setBlock(t, out[n])
-	}
-	if poolChanged {
-		l.setPool(t, pool)
+	for _, n := range core.Keys(under) {
+		if !raise[n] {
+			l.underBlock(t, n)
+		}
 	}
+	edit.Apply(t)
 	l.returnMarked()
 	l.rent(plan.Rent)
 }
 
+// noteGone writes down which returns the cloud has confirmed, and forgets
+// machines that are gone once the list no longer can name them.
+func (l *Leader) noteGone(edit *state.Edit) {
+	wall := l.Loop.Wall()
+	for _, id := range core.Keys(l.done) {
+		m, pooled := edit.Find(state.PoolShelf, id)
+		_, held := l.Mirror.MachineBlock(id)
+		if !pooled && !held || pooled && m.Fate == state.Gone {
+			delete(l.done, id)
+			continue
+		}
+		m.ID, m.Fate, m.Since = id, state.Gone, wall
+		if pooled {
+			edit.Set(state.PoolShelf, m)
+		} else {
+			edit.Add(state.PoolShelf, m)
+		}
+	}
+	listed := core.Wall(3*l.Config.CloudLim.ListLag.Milliseconds() + 20000)
+	for m := range l.Mirror.Shelf(state.PoolShelf).All() {
+		if _, held := l.Mirror.MachineBlock(m.ID); m.Fate == state.Gone && !held && wall-m.Since > listed {
+			edit.Remove(state.PoolShelf, m.ID)
+		}
+	}
+}
+
 // lookAtList adopts machines that nobody knows of, and gives back failed ones.
-func (l *Leader) lookAtList(pool *state.Pool, inBlock map[core.MachineID]int, changed *bool) {
+func (l *Leader) lookAtList(edit *state.Edit) {
 	for _, id := range core.Keys(l.list) {
 		m := l.list[id]
-		_, held := inBlock[id]
-		i := pool.Find(id)
+		known, pooled := edit.Find(state.PoolShelf, id)
 		if m.Phase == api.MachineFailed {
-			if i < 0 || pool.Machines[i].Fate != state.Gone {
+			if !pooled || known.Fate != state.Gone {
 				l.sendBack(id)
 			}
 			continue
 		}
-		if held || i >= 0 || l.done[id] || l.sending[id] || l.pendingRent(id) {
+		if _, held := l.Mirror.MachineBlock(id); held || pooled || l.done[id] || l.sending[id] || l.pendingRent(id) {
 			continue
 		}
-		pool.Machines = append(pool.Machines, state.Machine{
+		adopted := state.Machine{
 			ID: id, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 			Since: l.Loop.Wall() - core.Wall(m.AgeS*1000), Seen: l.Mirror.Term.Record.Last,
-		})
-		*changed = true
-		l.note("machine adopted", "machine", id, "type", m.Type, "phase", m.Phase)
+		}
+		if edit.Add(state.PoolShelf, adopted) {
+			l.note("machine adopted", "machine", id, "type", m.Type, "phase", m.Phase)
+		}
+	}
+}
+
+// noteRented writes down the machines that were rented. They stay on the list
+// until the records show them.
+func (l *Leader) noteRented(edit *state.Edit) {
+	still := l.rented[:0]
+	for _, m := range l.rented {
+		_, held := l.Mirror.MachineBlock(m.ID)
+		if l.Mirror.Shelf(state.PoolShelf).VersionOf(m.ID) != 0 || held {
+			continue
+		}
+		still = append(still, m)
+		edit.Add(state.PoolShelf, m)
 	}
+	l.rented = still
 }
 
 func (l *Leader) pendingRent(id core.MachineID) bool {
@@ -576,17 +572,16 @@
 // returnMarked sends back machines whose return is durable: those of the pool
 // marked so, and those that a holder has given up.
 func (l *Leader) returnMarked() {
-	for _, m := range l.Mirror.Pool.Record.Machines {
+	pool := l.Mirror.Shelf(state.PoolShelf)
+	for m := range pool.All() {
 		if m.Fate == state.Returning {
 			l.sendBack(m.ID)
 		}
 	}
 	for _, n := range core.Keys(l.Mirror.Blocks) {
-		for _, m := range l.Mirror.Blocks[n].Record.Machines {
-			if m.Lost {
-				if i := l.Mirror.Pool.Record.Find(m.ID); i < 0 || l.Mirror.Pool.Record.Machines[i].Fate != state.Gone {
-					l.sendBack(m.ID)
-				}
+		for m := range l.Mirror.Shelf(n).All() {
+			if known, ok := pool.Find(m.ID); m.Lost && (!ok || known.Fate != state.Gone) {
+				l.sendBack(m.ID)
 			}
 		}
 	}
@@ -642,7 +637,7 @@
 }
 
 // plan asks the capacity package what should be where.
-func (l *Leader) plan(pool *state.Pool, now core.Time, wall core.Wall) capacity.Plan {
+func (l *Leader) plan(edit *state.Edit, now core.Time, wall core.Wall) capacity.Plan {
 	in := capacity.Input{Now: wall, Types: l.priced(), Kept: l.Kept(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
 	for o, until := range l.closed {
 		if until > now {
@@ -656,8 +651,10 @@
 		in.TeamMax[t.Name], guaranteed[t.Name] = t.CPUsMax, t.CPUs
 	}
 	inPool := map[core.MachineID]bool{}
-	for _, m := range pool.Machines {
+	spoken := map[core.MachineID]bool{}
+	for _, m := range edit.All(state.PoolShelf) {
 		if m.Fate != state.Free {
+			spoken[m.ID] = true
 			continue
 		}
 		inPool[m.ID] = true
@@ -672,8 +669,8 @@
 		}
 	}
 	for _, n := range core.Keys(l.Mirror.Blocks) {
-		for _, m := range l.Mirror.Blocks[n].Record.Machines {
-			if i := pool.Find(m.ID); m.Lost || m.Doomed || i >= 0 && pool.Machines[i].Fate != state.Free {
+		for m := range l.Mirror.Shelf(n).All() {
+			if m.Lost || m.Doomed || spoken[m.ID] {
 				continue
 			}
 			in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: n, Asked: m.Asked})
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -374,7 +374,7 @@
 		id := core.MachineID(p.rep.Machine)
 		num, ok := n.mirror.MachineBlock(id)
 		switch {
-		case !ok && now < p.due && (n.leader != nil || n.mirror.Pool.Record.Find(id) >= 0):
+		case !ok && now < p.due && (n.leader != nil || n.mirror.Shelf(state.PoolShelf).VersionOf(id) != 0):
 			n.parked = append(n.parked, p)
 		case ok && n.holders[num] != nil:
 			n.holders[num].Report(p.rep, func(a api.ReportAnswer, ok bool) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -149,7 +149,7 @@
 		return false
 	}
 	hint, ok := n.hint(num, b.Record.Holder)
-	return ok && hint.Silent > 0 && hint.Silent > hint.Live || !ok && len(b.Record.Machines) > 0
+	return ok && hint.Silent > 0 && hint.Silent > hint.Live || !ok && n.mirror.Shelf(num).Len() > 0
 }
 
 // deaf tells which controller should hold a block instead of its holder: one
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -163,12 +163,14 @@
 	w.Run(100 * time.Second)
 	record := func(id string) (doomed, found bool) {
 		for key, e := range w.State.keys {
-			var b state.Block
-			if !strings.HasPrefix(key, "lichenstair/block/") || json.Unmarshal(e.value, &b) != nil {
+			var p state.Part
+			if !strings.HasPrefix(key, "lichenstair/machines/") || strings.Contains(key, "/pool/") || json.Unmarshal(e.value, &p) != nil {
 				continue
 			}
-			if i := b.Find(core.MachineID(id)); i >= 0 {
-				return b.Machines[i].Doomed, true
+			for _, m := range p.Machines {
+				if m.ID == core.MachineID(id) {
+					return m.Doomed, true
+				}
 			}
 		}
 		return false, false
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,13 +40,14 @@
 
 	Leader  Versioned[*Leader]
 	Term    Versioned[TermCounter]
-	Pool    Versioned[*Pool]
 	Types   Versioned[map[string]api.MachineType]
 	Members map[core.Host]Versioned[Member]
 	Blocks  map[int]Versioned[*Block]
 	Jobs    map[core.JobID]*JobEntry
 	Rounds  map[int]map[string]*Round
 
+	shelves  map[int]*Shelf
+	arrivals Versioned[Arrivals]
 	versions map[string]core.Revision
 
 	// Changed is called after changes have been taken in, with what they touched.
@@ -67,8 +69,15 @@
 
 // Touched says which kinds of record a batch of changes concerned.
 type Touched struct {
-	Leader, Members, Blocks, Pool, Rounds bool
-	Jobs                                  []core.JobID
+	Leader, Members, Blocks, Rounds bool
+	Shelves                         []int
+	Jobs                            []core.JobID
+}
+
+func (t *Touched) touch(shelf int) {
+	if !slices.Contains(t.Shelves, shelf) {
+		t.Shelves = append(t.Shelves, shelf)
+	}
 }
 
 type await struct {
@@ -92,7 +101,8 @@
 }
 
 func (m *Mirror) reset() {
-	m.Leader, m.Term, m.Pool = Versioned[*Leader]{}, Versioned[TermCounter]{}, Versioned[*Pool]{Record: &Pool{}}
+	m.Leader, m.Term = Versioned[*Leader]{}, Versioned[TermCounter]{}
+	m.shelves, m.arrivals = map[int]*Shelf{}, Versioned[Arrivals]{}
 	m.Members = map[core.Host]Versioned[Member]{}
 	m.Blocks = map[int]Versioned[*Block]{}
 	if m.Jobs == nil {
@@ -245,12 +255,6 @@
 		if !removed && decode(&r) {
 			m.Term = Versioned[TermCounter]{r, v}
 		}
-	case key == KeyPool:
-		t.Pool = true
-		var r Pool
-		if !removed && decode(&r) {
-			m.Pool = Versioned[*Pool]{&r, v}
-		}
 	case key == KeyTypes:
 		var r []api.MachineType
 		if !removed && decode(&r) {
@@ -274,6 +278,18 @@
 		if err == nil && !removed && decode(&r) {
 			m.Blocks[n] = Versioned[*Block]{&r, v}
 		}
+	case key == keyArrivals:
+		var r Arrivals
+		if !removed && decode(&r) {
+			m.arrivals = Versioned[Arrivals]{r, v}
+		}
+	case strings.HasPrefix(key, machines):
+		shelf, part, ok := parsePart(key)
+		var r Part
+		if ok && !removed && decode(&r) {
+			t.touch(shelf)
+			m.Shelf(shelf).put(part, &r, v)
+		}
 	case strings.HasPrefix(key, jobs):
 		id := core.JobID(strings.TrimPrefix(key, jobs))
 		var r Job
@@ -337,10 +353,20 @@
 	return 0, false
 }
 
+// Shelf returns the machines of a block or, for PoolShelf, of the pool.
+func (m *Mirror) Shelf(n int) *Shelf {
+	s := m.shelves[n]
+	if s == nil {
+		s = newShelf()
+		m.shelves[n] = s
+	}
+	return s
+}
+
 // MachineBlock returns the block to which a machine belongs.
 func (m *Mirror) MachineBlock(id core.MachineID) (int, bool) {
-	for n, b := range m.Blocks {
-		if b.Record.Find(id) >= 0 {
+	for n := range m.Blocks {
+		if _, ok := m.Shelf(n).place[id]; ok {
 			return n, true
 		}
 	}
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -15,13 +15,15 @@
 	root      = "lichenstair/"
 	KeyLeader = root + "leader"
 	KeyTerm   = root + "term"
-	KeyPool   = root + "pool"
 	KeyTypes  = root + "types"
 	members   = root + "member/"
 	blocks    = root + "block/"
+	machines  = root + "machines/"
 	jobs      = root + "job/"
 	rounds    = root + "round/"
 	keyNever  = root + "never"
+
+	keyArrivals = root + "arrivals"
 )
 
 // KeyMember is the key of a controller.
@@ -65,6 +67,11 @@
 	Last core.Term `json:"last"`
 }
 
+// Arrivals counts the transactions that brought machines onto the shelves.
+type Arrivals struct {
+	Count uint64 `json:"count"`
+}
+
 // Machine is a machine in a block or in the pool.
 type Machine struct {
 	ID   core.MachineID `json:"id"`
@@ -101,7 +108,7 @@
 	Gone Fate = "gone"
 )
 
-// Block is the record of a block.
+// Block is the record of a block; its machines are on the shelf of its number.
 type Block struct {
 	Number int         `json:"number"`
 	Holder core.Host   `json:"holder"`
@@ -109,49 +116,16 @@
 	Term   core.Term   `json:"term"`
 	// Granted is the term under which the holder received the block; Term may
 	// have been raised since for the same holder.
-	Granted  core.Term `json:"granted"`
-	Teams    []string  `json:"teams"`
-	Machines []Machine `json:"machines"`
-}
-
-// Size estimates the length of the record, so that it stays below the limit.
-func (b *Block) Size() int { return 200 + 40*len(b.Teams) + 170*len(b.Machines) }
-
-// Find returns the place of a machine in the block, or -1.
-func (b *Block) Find(id core.MachineID) int {
-	for i := range b.Machines {
-		if b.Machines[i].ID == id {
-			return i
-		}
-	}
-	return -1
+	Granted core.Term `json:"granted"`
+	Teams   []string  `json:"teams"`
 }
 
 // Clone copies the record, so that a changed one can be written.
 func (b *Block) Clone() *Block {
 	c := *b
-	c.Machines = append([]Machine{}, b.Machines...)
 	return &c
 }
 
-// Pool is the record of machines that belong to no block, or no longer exist.
-type Pool struct {
-	Machines []Machine `json:"machines"`
-}
-
-// Clone copies the record.
-func (p *Pool) Clone() *Pool { return &Pool{append([]Machine{}, p.Machines...)} }
-
-// Find returns the place of a machine in the pool, or -1.
-func (p *Pool) Find(id core.MachineID) int {
-	for i := range p.Machines {
-		if p.Machines[i].ID == id {
-			return i
-		}
-	}
-	return -1
-}
-
 // JobPhase is the durable state of a job.
 type JobPhase string
 
