Answers to busy workers wait for the next pass, up to half a second

Cause: passes are 150 ms apart, and a report was answered before the pass that it made due; a freed place then waited for the worker's next report, up to 3 s. A worker may not report again within half a second anyway.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -66,7 +66,8 @@
 
 const (
 	margin      = 500 * time.Millisecond
-	answerDrop  = 4 * time.Second // workers drop later answers to reports
+	answerDrop  = 4 * time.Second        // workers drop later answers to reports
+	reportPause = 500 * time.Millisecond // at least, between two reports of a worker
 	maxOrders   = 150
 	passPause   = 150 * time.Millisecond
 	roundPause  = 250 * time.Millisecond
@@ -358,13 +359,13 @@
 		return
 	}
 	h.passSoon()
-	if h.urgent(m) || !m.empty() && !m.planned() {
+	if h.urgent(m) {
 		done(api.ReportAnswer{Term: uint64(h.term), Orders: h.orders(m)}, true)
 		return
 	}
 	x := &held{done}
 	m.held = x
-	h.Loop.After(h.holdTime(), func() {
+	h.Loop.After(h.holdTime(m), func() {
 		if m.held == x {
 			h.flush(m)
 		}
@@ -374,9 +375,15 @@
 	}
 }
 
-// holdTime is how long the answer to an idle worker may be kept back. Its lease
-// counts from the sending of the report, and it gives up after four seconds.
-func (h *Holder) holdTime() time.Duration {
+// holdTime is how long the answer to a worker may be kept back. Its lease counts
+// from the sending of the report, and it gives up after four seconds. One that
+// is busy may soon have something to tell, but not before its next report is
+// allowed: until then, what the next pass plans on it goes out at once instead
+// of with a report that may be seconds away.
+func (h *Holder) holdTime(m *machine) time.Duration {
+	if !m.empty() && !m.planned() {
+		return reportPause - 50*time.Millisecond
+	}
 	return min(answerDrop*5/8, h.Config.Workers.Lease/4)
 }
 
@@ -407,13 +414,20 @@
 // a task that has to stop.
 func (h *Holder) urgent(m *machine) bool {
 	for _, s := range m.slots {
-		if s.state == planned && h.ready(m) || s.state == present {
+		if s.state == planned && h.ready(m) || s.state == present && s.stopped == 0 && (s.stop || h.unwanted(s)) {
 			return true
 		}
 	}
 	return false
 }
 
+// unwanted tells whether a task on a machine should not be there: its job is
+// over, or unknown to us, or has the task elsewhere.
+func (h *Holder) unwanted(s *slot) bool {
+	e, j := h.Mirror.Jobs[s.task.Job], h.jobs[s.task.Job]
+	return e == nil || e.Over() || j == nil || j.slots[s.task.Index] != s
+}
+
 // ready tells whether starts may be sent to a machine.
 func (h *Holder) ready(m *machine) bool {
 	return h.state == placing && m.up && m.fenced && m.state == live
@@ -445,7 +459,6 @@
 	for _, s := range m.list() {
 		order := api.Order{Task: s.task.String(), Attempt: uint64(s.attempt)}
 		e := h.Mirror.Jobs[s.task.Job]
-		unwanted := e == nil || e.Over() || h.jobs[s.task.Job] == nil || h.jobs[s.task.Job].slots[s.task.Index] != s
 		switch s.state {
 		case exited:
 			if s.cause != api.CauseDone || e == nil || e.Over() || e.Done.Has(s.task.Index) {
@@ -453,7 +466,7 @@
 				clears = append(clears, order)
 			}
 		case present:
-			if unwanted || s.stop {
+			if unwanted := h.unwanted(s); unwanted || s.stop {
 				grace := s.grace
 				if unwanted {
 					grace = 0
