--- a/internal/capacity/shapes.go
+++ b/internal/capacity/shapes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lichenstair/api"
+	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
 )
@@ -22,8 +23,9 @@
 }
 
 type sighting struct {
-	at  core.Time
-	job placement.Job
+	at    core.Time
+	job   placement.Job
+	class string
 }
 
 const (
@@ -46,7 +48,7 @@
 	if _, ok := s.seen[k]; !ok && len(s.seen) >= maxShapes {
 		return
 	}
-	s.seen[k] = sighting{now, placement.Job{Need: k.Need, Types: spec.Types, Spot: spec.Spot}}
+	s.seen[k] = sighting{now, placement.Job{Need: k.Need, Types: spec.Types, Spot: spec.Spot}, spec.Class}
 }
 
 // NoChoice tells whether a job's tasks fit only on kinds that are kept.
@@ -93,3 +95,38 @@
 	}
 	return out
 }
+
+// Patient lists the kinds of machine whose gangs can wait for one to boot: the
+// users' aims on their start leave twice the usual boot time, which covers the
+// slower ones, the rental and the image. Idle machines of such a kind are not
+// worth their money.
+func (s *Shapes) Patient(aims []config.Aim, types map[string]api.MachineType) map[Kind]bool {
+	out := map[Kind]bool{}
+	for name, t := range types {
+		patient, fits := true, false
+		for _, seen := range s.seen {
+			if !seen.job.Need.Fits(placement.Room(t)) || !seen.job.Allows(name, "", false) {
+				continue
+			}
+			fits = true
+			patient = patient && canWait(aims, seen.class, 2*core.Seconds(t.BootS))
+		}
+		out[Kind{name, false}], out[Kind{name, true}] = fits && patient, fits && patient
+	}
+	return out
+}
+
+// canWait tells whether every aim on the start of a class, of which there is at
+// least one, leaves a time.
+func canWait(aims []config.Aim, class string, d time.Duration) bool {
+	stated := false
+	for _, a := range aims {
+		if a.Kind == "wait" && a.Class == class {
+			if a.Within < d {
+				return false
+			}
+			stated = true
+		}
+	}
+	return stated
+}
