--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -776,7 +776,8 @@
 	h.passAt = now
 	h.dirty = false
 	types := h.Types()
-	kept := h.Kept()
+	jobs := h.candidates(now)
+	kept := h.keptNow(jobs, types)
 	teams := map[string]*placement.Team{}
 	for _, t := range h.Config.Teams {
 		teams[t.Name] = &placement.Team{Max: placement.Need{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
@@ -803,7 +804,6 @@
 		}
 		machines = append(machines, p)
 	}
-	jobs := h.candidates(now)
 	for _, j := range jobs {
 		j.NoChoice = capacity.NoChoice(j, types, kept)
 	}
@@ -818,6 +818,24 @@
 	h.flushReady()
 }
 
+// keptNow lists the kinds of machine that arrays must leave alone: those always
+// kept for gangs, and those that a gang waits for now.
+func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) map[capacity.Kind]bool {
+	kept := h.Kept()
+	for _, j := range jobs {
+		if !j.Gang {
+			continue
+		}
+		for _, name := range capacity.Scarce(j, types) {
+			kept[capacity.Kind{Type: name}] = true
+			if j.Spot {
+				kept[capacity.Kind{Type: name, Spot: true}] = true
+			}
+		}
+	}
+	return kept
+}
+
 // ends is when a task ends by estimate; one that overruns is given more time,
 // in growing steps, instead of being expected to end at any moment.
 func (h *Holder) ends(s *slot, now core.Time) core.Time {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -49,7 +49,6 @@
 	Types    map[string]api.MachineType
 	TeamMax  map[string]float64
 	Kept     map[Kind]bool
-	Patient  map[Kind]bool  // kept kinds whose gangs can wait for a boot
 	Closed   map[Offer]bool // kinds that were refused lately
 	Idle     time.Duration
 	// Keep is how much should stay although nobody claims it now, since so
@@ -254,14 +253,13 @@
 		return t.Price / t.CPUs
 	}
 	for _, r := range p.rooms {
-		switch kind := (Kind{r.m.Type, r.m.Spot}); {
-		case !p.in.Kept[kind]:
-			have.CPUs += p.in.Types[r.m.Type].CPUs
-		case !p.in.Patient[kind]:
+		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
 			have.Kept++
 			if r.used {
 				p.plan.Want.Kept++
 			}
+		} else {
+			have.CPUs += p.in.Types[r.m.Type].CPUs
 		}
 		if r.m.Block == NoBlock && !r.used && r.m.Free >= p.in.Idle {
 			idle = append(idle, r)
@@ -270,12 +268,10 @@
 	sort.SliceStable(idle, func(a, b int) bool { return cost(idle[a]) > cost(idle[b]) })
 	for _, r := range idle {
 		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
-			if !p.in.Patient[Kind{r.m.Type, r.m.Spot}] {
-				if have.Kept-1 < math.Round(p.in.Keep.Kept) {
-					continue
-				}
-				have.Kept--
+			if have.Kept-1 < math.Round(p.in.Keep.Kept) {
+				continue
 			}
+			have.Kept--
 		} else {
 			cpus := p.in.Types[r.m.Type].CPUs
 			// A level fades but never quite ends: half a machine counts as none.
--- a/internal/capacity/shapes.go
+++ b/internal/capacity/shapes.go
@@ -69,24 +69,19 @@
 }
 
 // Kept lists the kinds of machine that are kept for gangs: a gang that came
-// lately fits there, and does not fit on some other type that arrays can use.
-func (s *Shapes) Kept(now core.Time, types map[string]api.MachineType) map[Kind]bool {
+// lately fits there, does not fit on some other type that arrays can use, and
+// cannot wait until one boots.
+func (s *Shapes) Kept(now core.Time, aims []config.Aim, types map[string]api.MachineType) map[Kind]bool {
 	out := map[Kind]bool{}
 	for k, seen := range s.seen {
 		if now.Sub(seen.at) > remembered {
 			delete(s.seen, k)
 			continue
 		}
-		var fit []string
-		for name, t := range types {
-			if k.Need.Fits(placement.Room(t)) && seen.job.Allows(name, "", false) {
-				fit = append(fit, name)
+		for _, name := range Scarce(&seen.job, types) {
+			if canWait(aims, seen.class, 2*core.Seconds(types[name].BootS)) {
+				continue
 			}
-		}
-		if len(fit) == len(types) {
-			continue
-		}
-		for _, name := range fit {
 			out[Kind{name, false}] = true
 			if k.Spot {
 				out[Kind{name, true}] = true
@@ -96,28 +91,22 @@
 	return out
 }
 
-// Patient lists the kinds of machine whose gangs can wait for one to boot: the
-// users' aims on their start leave twice the usual boot time, which covers the
-// slower ones, the rental and the image. Idle machines of such a kind are not
-// worth their money.
-func (s *Shapes) Patient(aims []config.Aim, types map[string]api.MachineType) map[Kind]bool {
-	out := map[Kind]bool{}
-	for name, t := range types {
-		patient, fits := true, false
-		for _, seen := range s.seen {
-			if !seen.job.Need.Fits(placement.Room(t)) || !seen.job.Allows(name, "", false) {
-				continue
-			}
-			fits = true
-			patient = patient && canWait(aims, seen.class, 2*core.Seconds(t.BootS))
+// Scarce lists the types on which a gang's tasks fit, if they do not fit on all.
+func Scarce(j *placement.Job, types map[string]api.MachineType) (fit []string) {
+	for _, name := range core.Keys(types) {
+		if j.Need.Fits(placement.Room(types[name])) && j.Allows(name, "", false) {
+			fit = append(fit, name)
 		}
-		out[Kind{name, false}], out[Kind{name, true}] = fits && patient, fits && patient
 	}
-	return out
+	if len(fit) == len(types) {
+		return nil
+	}
+	return fit
 }
 
 // canWait tells whether every aim on the start of a class, of which there is at
-// least one, leaves a time.
+// least one, leaves a time. Twice the usual boot time covers the slower boots,
+// the rental and the image.
 func canWait(aims []config.Aim, class string, d time.Duration) bool {
 	stated := false
 	for _, a := range aims {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -28,9 +28,8 @@
 	Mirror *state.Mirror
 	State  *state.Client
 	Cloud  *cloud.Client
-	Kept   func() map[capacity.Kind]bool
-	// Patient lists the kinds of machine whose gangs can wait for a boot.
-	Patient func() map[capacity.Kind]bool
+	// Kept lists the kinds of machine that are always kept for gangs.
+	Kept func() map[capacity.Kind]bool
 	// Deaf names the controller that should hold a block whose holder does not
 	// hear its machines.
 	Deaf func(block int) (core.Host, bool)
@@ -640,7 +639,7 @@
 
 // plan asks the capacity package what should be where.
 func (l *Leader) plan(edit *state.Edit, now core.Time, wall core.Wall) capacity.Plan {
-	in := capacity.Input{Now: wall, Types: l.priced(), Kept: l.Kept(), Patient: l.Patient(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
+	in := capacity.Input{Now: wall, Types: l.priced(), Kept: l.Kept(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
 	for o, until := range l.closed {
 		if until > now {
 			in.Closed[o] = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,7 +240,7 @@
 	}
 	if ours && n.leader == nil {
 		n.leader = leader.New(leader.Env{
-			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud, Kept: n.kept, Patient: n.patient, Deaf: n.deaf,
+			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud, Kept: n.kept, Deaf: n.deaf,
 		}, l)
 	}
 	for _, num := range core.Keys(n.holders) {
@@ -261,8 +261,9 @@
 	}
 }
 
-func (n *Node) kept() map[capacity.Kind]bool { return n.shapes.Kept(n.loop.Now(), n.types()) }
-
-func (n *Node) patient() map[capacity.Kind]bool { return n.shapes.Patient(n.cfg.Aims, n.types()) }
+// kept lists the kinds of machine that are kept for gangs even while none waits.
+func (n *Node) kept() map[capacity.Kind]bool {
+	return n.shapes.Kept(n.loop.Now(), n.cfg.Aims, n.types())
+}
 
 func (n *Node) types() map[string]api.MachineType { return n.mirror.Types.Record }
