Arrays that cannot all be in time: the largest give way, not everyone a little

As many as possible are kept in time; who has waited 150 s without having begun goes first, so that nobody is starved.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -804,6 +804,7 @@
 		}
 		machines = append(machines, p)
 	}
+	h.standBack(jobs, machines, teams)
 	for _, j := range jobs {
 		j.NoChoice = capacity.NoChoice(j, types, kept)
 	}
@@ -818,6 +819,42 @@
 	h.flushReady()
 }
 
+// standBack chooses, team by team, the arrays that give way where not all can be
+// in time. A team can use what its arrays have and what is free, or what it is
+// guaranteed, up to its limit.
+func (h *Holder) standBack(jobs []*placement.Job, machines []*placement.Machine, teams map[string]*placement.Team) {
+	free := 0.0
+	for _, m := range machines {
+		if !m.Kept {
+			free += m.Free().CPUs
+		}
+	}
+	hasty := map[string][]*placement.Job{}
+	listed := map[core.JobID]bool{}
+	for _, j := range jobs {
+		listed[j.ID] = true
+		if len(j.Haste.Due) > 0 && j.Late == 0 {
+			hasty[j.Team] = append(hasty[j.Team], j)
+		}
+	}
+	have := map[string]float64{}
+	running := map[string]float64{}
+	for _, j := range h.jobs {
+		if j.gang() {
+			continue
+		}
+		have[j.spec.Team] += j.need.CPUs * float64(j.live())
+		if !listed[j.id] {
+			running[j.spec.Team] += j.work()
+		}
+	}
+	for _, t := range h.Config.Teams {
+		team := teams[t.Name]
+		cpus := min(max(have[t.Name]+free, t.CPUs), t.CPUsMax-(team.Used.CPUs-have[t.Name]))
+		placement.StandBack(h.Loop.Wall(), cpus, running[t.Name], hasty[t.Name])
+	}
+}
+
 // keptNow lists the kinds of machine that arrays must leave alone: those always
 // kept for gangs, and those that a gang waits for now.
 func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) map[capacity.Kind]bool {
@@ -880,7 +917,12 @@
 		described := placement.JobOf(j.id, j.at, j.spec)
 		p := &described
 		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, map[string]int{}, map[core.MachineID]bool{}, sum[team] <= guaranteed[team]
-		p.Late = capacity.Late(h.Config.Aims, j.spec, j.at, h.Loop.Wall())
+		wall := h.Loop.Wall()
+		if capacity.Late(h.Config.Aims, j.spec, j.at, wall) {
+			p.Late = len(h.Config.Aims)
+		}
+		p.Overdue = capacity.Overdue(j.at, wall, j.begun())
+		p.Haste = placement.Haste{Due: capacity.Due(h.Config.Aims, j.spec, j.at), Work: j.work()}
 		for _, m := range h.machines {
 			for _, s := range m.slots {
 				if s.task.Job == j.id && s.booked() {
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -197,6 +197,16 @@
 	return n
 }
 
+// begun tells whether a task of the job has been started.
+func (j *job) begun() bool { return j.cursor > 0 || len(j.slots) > 0 || !j.done.Empty() }
+
+// work estimates the work that is left, in CPU seconds; tasks that run count half.
+func (j *job) work() float64 {
+	live := float64(j.live())
+	left := float64(j.spec.Tasks-j.done.Len()) - live/2
+	return left * j.estimate().Seconds() * j.need.CPUs
+}
+
 // next takes a waiting task.
 func (j *job) next() (int, bool) {
 	for len(j.again) > 0 {
--- a/internal/capacity/late.go
+++ b/internal/capacity/late.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -8,9 +10,42 @@
 	"lichenstair/internal/core"
 )
 
-// lateFor bounds how long a job stands back for being late: work must not wait
-// for ever because it could not be in time.
-const lateFor = 15 * time.Minute
+const (
+	// lateFor bounds how long a job stands back for being late: work must not
+	// wait for ever because it could not be in time.
+	lateFor = 15 * time.Minute
+	// beginBy is how long a job may have waited without a task started before it
+	// goes first: nobody's work should seem forgotten because others hurry. Users
+	// expect the beginning within four minutes; what is left is for the drain.
+	beginBy = 150 * time.Second
+)
+
+// Overdue tells whether a job has waited too long without having begun.
+func Overdue(at, now core.Wall, begun bool) bool {
+	return !begun && time.Duration(now-at)*time.Millisecond > beginBy
+}
+
+// Due lists by when an array should be complete, for each of the users' aims on
+// deadlines of its class, the one that leaves least time first.
+func Due(aims []config.Aim, spec *api.Job, at core.Wall) (due []core.Wall) {
+	if spec.DeadlineS == nil || spec.Form == api.FormGang {
+		return nil
+	}
+	times := []float64{}
+	for _, a := range aims {
+		if a.Kind == "deadline" && a.Class == spec.Class {
+			times = append(times, cmp.Or(a.Times, 1))
+		}
+	}
+	if len(times) == 0 {
+		times = append(times, 1)
+	}
+	slices.Sort(times)
+	for _, t := range times {
+		due = append(due, at+core.Wall(*spec.DeadlineS*t*1000))
+	}
+	return due
+}
 
 // Late tells whether a waiting job can no longer meet any of the aims that its
 // users stated for its class, nor its own deadline. Such a job yields to those
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -96,8 +96,13 @@
 	Avoid map[core.MachineID]bool
 	// NoChoice: the job's tasks fit only on machines that are kept for gangs.
 	NoChoice bool
-	// Late: every aim on the job's time has been missed for good.
-	Late bool
+	// Late counts the aims on the job's time that it misses or gives way in.
+	Late int
+	// Haste is set for arrays that have a deadline.
+	Haste Haste
+	// Overdue: the job has waited so long without having begun that its start
+	// goes before all else of its rank.
+	Overdue bool
 	// Guaranteed: the job fits into what its team is guaranteed.
 	Guaranteed bool
 }
@@ -191,8 +196,10 @@
 		switch {
 		case x.Rank != y.Rank:
 			return x.Rank > y.Rank
+		case x.Overdue != y.Overdue:
+			return x.Overdue
 		case x.Late != y.Late:
-			return y.Late
+			return x.Late < y.Late
 		case x.Guaranteed != y.Guaranteed:
 			return x.Guaranteed
 		case x.At != y.At:
--- /dev/null
+++ b/internal/placement/standback.go
@@ -0,0 +1,70 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"lichenstair/internal/core"
+)
+
+// Haste is what is known of an array's time: by when it should be complete, for
+// the aim that leaves least time first, and the work that is left.
+type Haste struct {
+	Due  []core.Wall
+	Work float64 // CPU seconds
+}
+
+// fetchTime is added to what the last task of a job still needs.
+const fetchTime = 3 * time.Second
+
+// StandBack decides which of a team's arrays cannot all be complete in time with
+// the CPUs that the team can use, and marks those that stand back. Serving them
+// all by age would make each of them a little late; instead as many as possible
+// are in time, and those with the most work give way (the rule of Moore and
+// Hodgson for the number of late jobs). A job that cannot meet its first time
+// is tried with the next, after those that meet theirs. It only ever changes
+// the order: whoever stands back takes what the others leave.
+//
+// cpus is what the team can use, and running the work of tasks that already run.
+func StandBack(now core.Wall, cpus, running float64, jobs []*Job) {
+	left := jobs
+	kept := []*Job{}
+	for stage := 0; len(left) > 0; stage++ {
+		var due []*Job
+		for _, j := range left {
+			if stage < len(j.Haste.Due) {
+				due = append(due, j)
+			}
+		}
+		sort.SliceStable(due, func(a, b int) bool { return due[a].Haste.Due[stage] < due[b].Haste.Due[stage] })
+		used := running
+		for _, j := range kept {
+			used += j.Haste.Work
+		}
+		var taken, dropped []*Job
+		for _, j := range due {
+			have := float64(j.Haste.Due[stage]-now) / 1000
+			if have < (j.Estimate + fetchTime).Seconds() {
+				dropped = append(dropped, j) // too late whatever is done
+				continue
+			}
+			taken = append(taken, j)
+			used += j.Haste.Work
+			for used > have*cpus && len(taken) > 0 {
+				most := 0
+				for i := range taken {
+					if taken[i].Haste.Work > taken[most].Haste.Work {
+						most = i
+					}
+				}
+				used -= taken[most].Haste.Work
+				dropped = append(dropped, taken[most])
+				taken = append(taken[:most], taken[most+1:]...)
+			}
+		}
+		for _, j := range dropped {
+			j.Late = stage + 1
+		}
+		kept, left = append(kept, taken...), dropped
+	}
+}
