--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -60,6 +60,8 @@
 type Level struct {
 	Kept float64 // for gangs, in machines of the kinds kept for them
 	Spot float64 // CPUs for arrays that may use spot machines
+	// Short is how many CPUs of that were missing.
+	Short float64
 }
 
 // Trend is what was wanted lately: for gangs a peak that fades, for spot
@@ -68,6 +70,7 @@
 	peak  float64
 	sum   float64
 	share float64
+	short float64
 	at    core.Time
 	// guaranteed is what an arriving array wants within its team's guarantee,
 	// on the average over those that come; 0 for those beyond it.
@@ -81,6 +84,8 @@
 	peakTime = 30 * time.Second
 	// meanTime is how far the mean looks back.
 	meanTime = 180 * time.Second
+	// shortTime is how long a shortage must last to count.
+	shortTime = 60 * time.Second
 	// headroom is how much of an average arrival within a guarantee is kept
 	// ready on spot machines beyond the mean (tried: 1.5, 3, 6; docs/results.md).
 	headroom = 3.0
@@ -117,6 +122,8 @@
 	f = math.Exp(-passed / meanTime.Seconds())
 	t.sum = t.sum*f + want.Spot*(1-f)
 	t.share = t.share*f + (1 - f)
+	f = math.Exp(-passed / shortTime.Seconds())
+	t.short = t.short*f + want.Short*(1-f)
 	if now.Sub(t.arrival) > quietTime {
 		t.guaranteed *= math.Exp(-passed / quietTime.Seconds())
 	}
@@ -124,7 +131,7 @@
 
 // Keep tells how much to keep.
 func (t *Trend) Keep() Level {
-	l := Level{Kept: t.peak}
+	l := Level{Kept: t.peak, Short: t.short}
 	if t.share > 0 {
 		l.Spot = t.sum/t.share + t.guaranteed*headroom
 	}
@@ -160,6 +167,9 @@
 	rooms []*room
 	plan  Plan
 	team  map[string]float64
+	// ordinary counts the CPUs of ordinary machines to be rented for work that
+	// may use spot machines.
+	ordinary float64
 }
 
 // Make makes a plan: the unfinished jobs, oldest first, claim room on the
@@ -223,6 +233,11 @@
 		open[i].n -= p.claim(u.j, open[i].n, func(r *room) bool { return r.block == NoBlock })
 		open[i].n -= p.claim(u.j, open[i].n, func(r *room) bool { return !r.used })
 	}
+	for _, u := range open {
+		if u.n > 0 && !u.j.Gang && u.j.Spot {
+			p.plan.Want.Short += float64(u.n) * u.j.Need.CPUs
+		}
+	}
 	for _, u := range open {
 		if u.n > 0 {
 			p.rent(u.j, u.n)
@@ -393,24 +408,15 @@
 	return got
 }
 
-// scarce is how many times more than what is there must be wanted before
-// ordinary machines are rented for work that may use spot machines. They cost
-// about three times as much, and what waits for spot machines mostly is done
-// before one has booted.
-const scarce = 3
-
-// worthwhile tells whether an ordinary machine may be rented for a job.
-func (p *planner) worthwhile(j *Job) bool {
+// worthwhile tells how many ordinary machines of a type may be rented for a job.
+// For work that may use spot machines they cost about three times as much, and
+// what waits for those mostly is done before one has booted: they are rented
+// only as far as CPUs have been missing for a while.
+func (p *planner) worthwhile(j *Job, t api.MachineType) int {
 	if j.Gang || !j.Spot {
-		return true
+		return math.MaxInt
 	}
-	have := 0.0
-	for _, r := range p.rooms {
-		if !p.keeps(j, r.m.Type, r.m.Spot) && j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
-			have += p.in.Types[r.m.Type].CPUs
-		}
-	}
-	return p.plan.Want.Spot > scarce*have
+	return int((p.in.Keep.Short - p.ordinary) / t.CPUs)
 }
 
 // rent adds the cheapest machines that take n tasks of a job, and claims them.
@@ -437,7 +443,7 @@
 				if p.in.Closed[o] || p.keeps(j, name, spot) || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
 					continue
 				}
-				if !spot && !p.worthwhile(j) {
+				if !spot && p.worthwhile(j, t) < 1 {
 					continue
 				}
 				price := t.Price
@@ -456,6 +462,10 @@
 	}
 	t := p.in.Types[best.o.Type]
 	count := min((n+best.fit-1)/best.fit, 10)
+	if !best.o.Spot && !j.Gang && j.Spot {
+		count = min(count, p.worthwhile(j, t))
+		p.ordinary += float64(count) * t.CPUs
+	}
 	if j.Scatter {
 		count = min(count, (j.Tasks+1)/2)
 	}
