--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -60,7 +60,7 @@
 type Level struct {
 	Kept float64 // for gangs, in machines of the kinds kept for them
 	Spot float64 // CPUs for arrays that may use spot machines
-	// Short is how many CPUs of that were missing.
+	// Short is how many more CPUs would have brought arrays in time.
 	Short float64
 }
 
@@ -233,11 +233,7 @@
 		open[i].n -= p.claim(u.j, open[i].n, func(r *room) bool { return r.block == NoBlock })
 		open[i].n -= p.claim(u.j, open[i].n, func(r *room) bool { return !r.used })
 	}
-	for _, u := range open {
-		if u.n > 0 && !u.j.Gang && u.j.Spot {
-			p.plan.Want.Short += float64(u.n) * u.j.Need.CPUs
-		}
-	}
+	p.plan.Want.Short = p.missing(jobs)
 	for _, u := range open {
 		if u.n > 0 {
 			p.rent(u.j, u.n)
@@ -408,17 +404,66 @@
 	return got
 }
 
+// scarce is how many times more than what is there must be wanted before
+// ordinary machines are rented freely for work that may use spot machines.
+const scarce = 3
+
 // worthwhile tells how many ordinary machines of a type may be rented for a job.
 // For work that may use spot machines they cost about three times as much, and
-// what waits for those mostly is done before one has booted: they are rented
-// only as far as CPUs have been missing for a while.
+// what waits for those mostly is done before one has booted: unless hardly
+// anything is there, they are rented only as far as CPUs have been missing for a
+// while to be in time.
 func (p *planner) worthwhile(j *Job, t api.MachineType) int {
 	if j.Gang || !j.Spot {
 		return math.MaxInt
 	}
+	have := 0.0
+	for _, r := range p.rooms {
+		if !p.keeps(j, r.m.Type, r.m.Spot) && j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
+			have += p.in.Types[r.m.Type].CPUs
+		}
+	}
+	if p.plan.Want.Spot > scarce*have {
+		return math.MaxInt
+	}
 	return int((p.in.Keep.Short - p.ordinary) / t.CPUs)
 }
 
+// missing estimates how many CPUs more would bring arrays in time that cannot be
+// with what is there, though their teams' limits would let them.
+func (p *planner) missing(jobs []*Job) (cpus float64) {
+	byTeam := map[string][]*placement.Job{}
+	for _, j := range jobs {
+		if !j.Gang && j.Spot && j.Deadline > 0 && j.Remaining > 0 {
+			j.Late = 0
+			j.Haste = placement.Haste{Due: []core.Wall{j.Deadline}, Work: float64(j.Remaining) * j.Need.CPUs * j.Estimate.Seconds()}
+			byTeam[j.Team] = append(byTeam[j.Team], &j.Job)
+		}
+	}
+	var possible []*placement.Job
+	for _, team := range core.Keys(byTeam) {
+		placement.StandBack(p.in.Now, p.in.TeamMax[team], 0, byTeam[team])
+		for _, j := range byTeam[team] {
+			if j.Late == 0 {
+				possible = append(possible, j)
+			}
+		}
+	}
+	have := 0.0
+	for _, r := range p.rooms {
+		if !p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
+			have += p.in.Types[r.m.Type].CPUs
+		}
+	}
+	placement.StandBack(p.in.Now, have, 0, possible)
+	for _, j := range possible {
+		if left := float64(j.Haste.Due[0]-p.in.Now) / 1000; j.Late > 0 && left > 0 {
+			cpus += j.Haste.Work / left
+		}
+	}
+	return cpus
+}
+
 // rent adds the cheapest machines that take n tasks of a job, and claims them.
 func (p *planner) rent(j *Job, n int) {
 	type choice struct {
