Preemption and arrays on kept machines are taken out again

Machines with arrays on them must drain before they can move to the block whose gang needs them; within a block there was little to stop for. Killed work costs what the idle time would have.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -30,7 +30,7 @@
 	State   *state.Client
 	Workers *worker.Client
 	Types   func() map[string]api.MachineType
-	Kept    func() capacity.Kept
+	Kept    func() map[capacity.Kind]bool
 	Policy  placement.Policy
 }
 
@@ -796,9 +796,7 @@
 		if !h.usable(m) {
 			continue
 		}
-		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Tasks: len(m.slots), MaxTasks: placement.MaxTasks}
-		p.KeptFrom, p.Kept = kept[capacity.Kind{Type: m.typ, Spot: m.spot}]
-		h.clearingOf(m, p, now)
+		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Tasks: len(m.slots), MaxTasks: placement.MaxTasks, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
 		for _, s := range m.slots {
 			if s.booked() {
 				p.Releases = append(p.Releases, placement.Release{At: h.ends(s, now), Need: s.need})
@@ -814,7 +812,6 @@
 	for _, st := range res.Starts {
 		h.plan(h.jobs[st.Job], h.machines[st.Machine])
 	}
-	h.preempt(now, machines, jobs, teams)
 	if res.Reserved != "" {
 		h.Log.Debug("oldest waiting job holds a reservation", "job", res.Reserved, "in", res.ReservedAt.Sub(now).String())
 	}
@@ -860,11 +857,17 @@
 
 // keptNow lists the kinds of machine that arrays must leave alone: those always
 // kept for gangs, and those that a gang waits for now.
-func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) capacity.Kept {
+func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) map[capacity.Kind]bool {
 	kept := h.Kept()
 	for _, j := range jobs {
-		if j.Gang {
-			kept.Add(j, types)
+		if !j.Gang {
+			continue
+		}
+		for _, name := range capacity.Scarce(j, types) {
+			kept[capacity.Kind{Type: name}] = true
+			if j.Spot {
+				kept[capacity.Kind{Type: name, Spot: true}] = true
+			}
 		}
 	}
 	return kept
@@ -901,7 +904,6 @@
 	for _, j := range all {
 		team := j.spec.Team
 		sum[team] += j.need.CPUs * float64(j.spec.Tasks-j.done.Len())
-		j.guaranteed = sum[team] <= guaranteed[team]
 		waiting := j.waiting()
 		if waiting <= 0 || j.broken || j.holdoff > now {
 			if j.holdoff > now {
@@ -914,7 +916,7 @@
 		}
 		described := placement.JobOf(j.id, j.at, j.spec)
 		p := &described
-		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, map[string]int{}, map[core.MachineID]bool{}, j.guaranteed
+		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, map[string]int{}, map[core.MachineID]bool{}, sum[team] <= guaranteed[team]
 		wall := h.Loop.Wall()
 		if capacity.Late(h.Config.Aims, j.spec, j.at, wall) {
 			p.Late = len(h.Config.Aims)
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -101,10 +101,6 @@
 	recent  []string
 	slots   map[slotKey]*slot
 	held    *held // a report that waits for its answer
-	// clearedFor is the job for which tasks on the machine were stopped; until
-	// then, nothing else is planned there.
-	clearedFor   core.JobID
-	clearedUntil core.Time
 }
 
 // held is a report whose answer is kept back for a moment: a worker with
@@ -182,8 +178,6 @@
 	avoid   map[core.MachineID]core.Time
 	fails   int
 	holdoff core.Time
-	// guaranteed: it fits into what its team is guaranteed.
-	guaranteed bool
 }
 
 func (j *job) gang() bool { return j.spec.Form == api.FormGang }
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -48,7 +48,7 @@
 	Machines []*Machine
 	Types    map[string]api.MachineType
 	TeamMax  map[string]float64
-	Kept     Kept
+	Kept     map[Kind]bool
 	Closed   map[Offer]bool // kinds that were refused lately
 	Idle     time.Duration
 	// Keep is how much should stay although nobody claims it now, since so
@@ -159,7 +159,6 @@
 	free  placement.Need
 	block int // for whom it is claimed
 	used  bool
-	gang  bool // a gang claims it
 	tasks int
 }
 
@@ -265,9 +264,9 @@
 		return t.Price / t.CPUs
 	}
 	for _, r := range p.rooms {
-		if p.in.Kept.Always(Kind{r.m.Type, r.m.Spot}) {
+		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
 			have.Kept++
-			if r.gang {
+			if r.used {
 				p.plan.Want.Kept++
 			}
 		} else {
@@ -279,7 +278,7 @@
 	}
 	sort.SliceStable(idle, func(a, b int) bool { return cost(idle[a]) > cost(idle[b]) })
 	for _, r := range idle {
-		if p.in.Kept.Always(Kind{r.m.Type, r.m.Spot}) {
+		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
 			if have.Kept-1 < math.Round(p.in.Keep.Kept) {
 				continue
 			}
@@ -306,7 +305,7 @@
 		t := p.in.Types[name]
 		for _, zone := range t.Zones {
 			o := Offer{name, zone, true}
-			if c := t.SpotPrice / t.CPUs; c < cost-1e-9 && !p.in.Closed[o] && !p.in.Kept.Always(Kind{name, true}) && have+t.CPUs/2 < p.in.Keep.Spot {
+			if c := t.SpotPrice / t.CPUs; c < cost-1e-9 && !p.in.Closed[o] && !p.in.Kept[Kind{name, true}] && have+t.CPUs/2 < p.in.Keep.Spot {
 				best, cost = o, c
 			}
 		}
@@ -381,7 +380,7 @@
 
 // keeps tells whether a kind of machine is kept from an array for gangs.
 func (p *planner) keeps(j *Job, typ string, spot bool) bool {
-	return !j.Gang && p.in.Kept.From(Kind{typ, spot}, j.Rank) && !j.NoChoice
+	return !j.Gang && p.in.Kept[Kind{typ, spot}] && !j.NoChoice
 }
 
 // claim takes room for up to n tasks on machines that suit, and tells how many.
@@ -397,7 +396,7 @@
 		for got < n && r.tasks < placement.MaxTasks && j.Need.Fits(r.free) && j.ZoneAllows(r.m.Zone, j.Zones) {
 			j.Zones[r.m.Zone]++
 			r.free = r.free.Minus(j.Need)
-			r.used, r.gang, r.block = true, r.gang || j.Gang, j.Block
+			r.used, r.block = true, j.Block
 			r.tasks++
 			got++
 		}
@@ -452,7 +451,7 @@
 	}
 	have := 0.0
 	for _, r := range p.rooms {
-		if !p.in.Kept.Always(Kind{r.m.Type, r.m.Spot}) {
+		if !p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
 			have += p.in.Types[r.m.Type].CPUs
 		}
 	}
--- a/internal/capacity/shapes.go
+++ b/internal/capacity/shapes.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"math"
 	"time"
 
 	"lichenstair/api"
@@ -15,7 +14,6 @@
 	Need  placement.Need
 	Types string // the allowed types, joined
 	Spot  bool
-	Rank  int
 }
 
 // Shapes remembers what kinds of gangs have come lately, so that machines that
@@ -43,7 +41,7 @@
 	if s.seen == nil {
 		s.seen = map[Shape]sighting{}
 	}
-	k := Shape{Need: placement.Need{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB}, Spot: spec.Spot, Rank: placement.JobOf("", 0, spec).Rank}
+	k := Shape{Need: placement.Need{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB}, Spot: spec.Spot}
 	for _, t := range spec.Types {
 		k.Types += t + " "
 	}
@@ -54,10 +52,10 @@
 }
 
 // NoChoice tells whether a job's tasks fit only on kinds that are kept.
-func NoChoice(j *placement.Job, types map[string]api.MachineType, kept Kept) bool {
+func NoChoice(j *placement.Job, types map[string]api.MachineType, kept map[Kind]bool) bool {
 	for name, t := range types {
 		if j.Need.Fits(placement.Room(t)) && j.Allows(name, j.Zone, false) &&
-			(!kept.From(Kind{name, false}, j.Rank) || j.Spot && !kept.From(Kind{name, true}, j.Rank)) {
+			(!kept[Kind{name, false}] || j.Spot && !kept[Kind{name, true}]) {
 			return false
 		}
 	}
@@ -70,58 +68,23 @@
 	Spot bool
 }
 
-// Kept lists the kinds of machine that gangs need, with the rank from which on
-// arrays must leave them alone. Those of lower rank may use them: they are
-// stopped when a gang comes.
-type Kept map[Kind]int
-
-// nobody is a rank that no array has.
-const nobody = math.MaxInt
-
-// add lowers the rank from which on a kind is kept.
-func (k Kept) add(kind Kind, rank int) {
-	if have, ok := k[kind]; !ok || rank < have {
-		k[kind] = rank
-	}
-}
-
-// From tells whether a kind is kept from arrays of a rank.
-func (k Kept) From(kind Kind, rank int) bool {
-	from, ok := k[kind]
-	return ok && rank >= from
-}
-
-// Always tells whether idle machines of a kind are kept ready for gangs.
-func (k Kept) Always(kind Kind) bool { return k.From(kind, nobody-1) }
-
-// Add keeps what a waiting gang needs from all arrays.
-func (k Kept) Add(j *placement.Job, types map[string]api.MachineType) {
-	for _, name := range Scarce(j, types) {
-		k.add(Kind{name, false}, 0)
-		if j.Spot {
-			k.add(Kind{name, true}, 0)
-		}
-	}
-}
-
-// Kept lists the kinds of machine that gangs need which came lately: the gang
-// fits there and does not fit on some other type that arrays can use. If it can
-// wait until a machine boots, the kind is kept from nobody, but taken last.
-func (s *Shapes) Kept(now core.Time, aims []config.Aim, types map[string]api.MachineType) Kept {
-	out := Kept{}
+// Kept lists the kinds of machine that are kept for gangs: a gang that came
+// lately fits there, does not fit on some other type that arrays can use, and
+// cannot wait until one boots.
+func (s *Shapes) Kept(now core.Time, aims []config.Aim, types map[string]api.MachineType) map[Kind]bool {
+	out := map[Kind]bool{}
 	for k, seen := range s.seen {
 		if now.Sub(seen.at) > remembered {
 			delete(s.seen, k)
 			continue
 		}
 		for _, name := range Scarce(&seen.job, types) {
-			from := k.Rank
 			if canWait(aims, seen.class, 2*core.Seconds(types[name].BootS)) {
-				from = nobody
+				continue
 			}
-			out.add(Kind{name, false}, from)
+			out[Kind{name, false}] = true
 			if k.Spot {
-				out.add(Kind{name, true}, from)
+				out[Kind{name, true}] = true
 			}
 		}
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -29,7 +29,7 @@
 	State  *state.Client
 	Cloud  *cloud.Client
 	// Kept lists the kinds of machine that are always kept for gangs.
-	Kept func() capacity.Kept
+	Kept func() map[capacity.Kind]bool
 	// Deaf names the controller that should hold a block whose holder does not
 	// hear its machines.
 	Deaf func(block int) (core.Host, bool)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -262,7 +262,7 @@
 }
 
 // kept lists the kinds of machine that are kept for gangs even while none waits.
-func (n *Node) kept() capacity.Kept {
+func (n *Node) kept() map[capacity.Kind]bool {
 	return n.shapes.Kept(n.loop.Now(), n.cfg.Aims, n.types())
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -61,13 +61,8 @@
 	// Tasks counts what is on the machine, MaxTasks bounds it (0: no bound).
 	Tasks    int
 	MaxTasks int
-	// Kept: gangs that do not fit elsewhere need such machines; arrays take them
-	// last, and those of rank KeptFrom or higher not at all.
-	Kept     bool
-	KeptFrom int
-	// Stopping is booked by tasks that have been told to stop, for the job For.
-	Stopping Need
-	For      core.JobID
+	// Kept: the machine is kept for gangs, which do not fit elsewhere.
+	Kept bool
 	// Shunned: the machine has failed tasks lately; it is taken last.
 	Shunned bool
 }
@@ -75,9 +70,6 @@
 // full tells whether n more tasks are too many for the machine.
 func (m *Machine) full(n int) bool { return m.MaxTasks > 0 && m.Tasks+n > m.MaxTasks }
 
-// keptFrom tells whether an array must leave the machine alone.
-func (m *Machine) keptFrom(j *Job) bool { return m.Kept && j.Rank >= m.KeptFrom && !j.NoChoice }
-
 // Free returns what is not booked.
 func (m *Machine) Free() Need { return m.Total.Minus(m.Booked) }
 
@@ -360,7 +352,6 @@
 
 type rating struct {
 	shunned bool
-	kept    bool
 	score   float64
 	mean    float64
 	cold    bool
@@ -371,8 +362,6 @@
 	switch {
 	case a.shunned != b.shunned:
 		return !a.shunned
-	case a.kept != b.kept:
-		return !a.kept
 	case math.Abs(a.score-b.score) > tie:
 		return a.score < b.score
 	case math.Abs(a.mean-b.mean) > tie:
@@ -383,7 +372,7 @@
 
 func rate(j *Job, m *Machine) rating {
 	s, mean := Score(m, j.Need)
-	return rating{m.Shunned, m.Kept && !j.Gang, s, mean, !m.Images[j.Image]}
+	return rating{m.Shunned, s, mean, !m.Images[j.Image]}
 }
 
 // best returns the machine with the best rating for one task of an array.
@@ -391,7 +380,7 @@
 	var pick *Machine
 	var top rating
 	for _, m := range p.machines {
-		if m.full(1) || m.keptFrom(j) || m.For != "" && m.For != j.ID || !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.ZoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
+		if m.full(1) || m.Kept && !j.NoChoice || !j.Need.Fits(free(m)) || !j.Allows(m.Type, m.Zone, m.Spot) || !j.ZoneAllows(m.Zone, j.Zones) || j.Avoid[m.ID] {
 			continue
 		}
 		if p.policy.FirstFit {
@@ -441,7 +430,7 @@
 	}
 	var rooms []room
 	for _, m := range p.machines {
-		if zone != "" && m.Zone != zone || m.For != "" && m.For != j.ID || !j.Allows(m.Type, m.Zone, m.Spot) || j.Avoid[m.ID] {
+		if zone != "" && m.Zone != zone || !j.Allows(m.Type, m.Zone, m.Spot) || j.Avoid[m.ID] {
 			continue
 		}
 		if f := free(m); j.Need.Fits(f) {
@@ -549,7 +538,7 @@
 			if i == at || options[i].m == m || jobs[i].Team == jobs[at].Team {
 				stale[i] = true
 			} else if options[i].m != nil && !m.full(1) && jobs[i].Need.Fits(p.beside(jobs[i])(m)) &&
-				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].ZoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] && !m.keptFrom(jobs[i]) && (m.For == "" || m.For == jobs[i].ID) {
+				jobs[i].Allows(m.Type, m.Zone, m.Spot) && jobs[i].ZoneAllows(m.Zone, jobs[i].Zones) && !jobs[i].Avoid[m.ID] && (!m.Kept || jobs[i].NoChoice) {
 				if r := rate(jobs[i], m); r.better(options[i].r) {
 					options[i] = option{m, r}
 				}
