--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -75,7 +75,8 @@
 	// guaranteed is what an arriving array wants within its team's guarantee,
 	// on the average over those that come; 0 for those beyond it.
 	guaranteed float64
-	arrival    core.Time // the last one
+	arrival    core.Time     // the last one
+	gap        time.Duration // between arrivals, on the average
 	seen       map[core.JobID]bool
 }
 
@@ -91,13 +92,18 @@
 	headroom = 3.0
 	// arrivalWeight is the weight of the newest arrival in that average.
 	arrivalWeight = 0.1
-	// quietTime is how long after the last arrival the average starts to fade.
-	quietTime = time.Minute
+	// An arrival that is quietGaps times overdue, and by at least quietTime,
+	// probably does not come: what was wanted lately is no guide any more.
+	quietGaps = 6
+	quietTime = 15 * time.Second
+	// fadeTime is how fast the levels go down then.
+	fadeTime = 10 * time.Second
 )
 
 // Arrivals takes in the unfinished jobs: those seen for the first time count.
 func (t *Trend) Arrivals(now core.Time, jobs []*Job) {
 	seen := map[core.JobID]bool{}
+	last := t.arrival
 	for _, j := range jobs {
 		seen[j.ID] = true
 		if t.seen[j.ID] || j.Gang || !j.Spot {
@@ -111,6 +117,14 @@
 		t.guaranteed += (wants - t.guaranteed) * arrivalWeight
 	}
 	t.seen = seen
+	if t.arrival != last && last > 0 {
+		t.gap += time.Duration(float64(now.Sub(last)-t.gap) * arrivalWeight)
+	}
+}
+
+// quiet tells whether arrivals seem to have ended.
+func (t *Trend) quiet(now core.Time) bool {
+	return now.Sub(t.arrival) > max(quietGaps*t.gap, quietTime)
 }
 
 // Note takes in what is wanted now.
@@ -124,8 +138,10 @@
 	t.share = t.share*f + (1 - f)
 	f = math.Exp(-passed / shortTime.Seconds())
 	t.short = t.short*f + want.Short*(1-f)
-	if now.Sub(t.arrival) > quietTime {
-		t.guaranteed *= math.Exp(-passed / quietTime.Seconds())
+	if t.quiet(now) {
+		f = math.Exp(-passed / fadeTime.Seconds())
+		t.guaranteed *= f
+		t.sum *= f
 	}
 }
 
