--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -346,14 +346,29 @@
 		done(api.ReportAnswer{}, false)
 		return
 	}
-	h.flush(m)
 	now := h.Loop.Now()
+	if h.lateCopy(m, rep, now) {
+		done(api.ReportAnswer{}, false)
+		return
+	}
+	h.flush(m)
 	m.addr = rep.Addr
 	fresh := h.take(m, rep, true, now)
-	m.answer = max(m.answer, now)
 	if !m.fenced {
 		h.fence(m)
+		if m.unheard == 0 {
+			m.unheard = now
+		}
+		if now.Sub(m.unheard) > h.Config.Workers.Lease/2 {
+			// Whatever we answer, its reports do not show our term: nothing
+			// reaches it. An answer held to renew its lease would put off for
+			// ever the time at which that has surely run out, and the whole
+			// block would wait for it.
+			done(api.ReportAnswer{}, false)
+			return
+		}
 	}
+	m.answer = max(m.answer, now)
 	if !fresh {
 		done(api.ReportAnswer{Term: uint64(h.term), Orders: []api.Order{}}, true)
 		return
@@ -375,6 +390,16 @@
 	}
 }
 
+// lateCopy tells whether a report was sent long ago. A worker gives a report up
+// after a while, so one that is in flight can be older only than a message that
+// we have had since. A late copy must neither show a machine alive nor count as
+// answered: copies that kept coming put off the time at which the lease of a
+// dead machine had surely run out.
+func (h *Holder) lateCopy(m *machine, rep *api.Report, now core.Time) bool {
+	return m.season > 0 && !core.Newer(core.Season(rep.Season), core.Tally(rep.Tally), m.season, m.tally) &&
+		now > m.heard.Add(core.Stretch(answerDrop)+margin)
+}
+
 // holdTime is how long the answer to a worker may be kept back. Its lease counts
 // from the sending of the report, and it gives up after four seconds. One that
 // is busy may soon have something to tell, but not before its next report is
@@ -430,7 +455,7 @@
 
 // ready tells whether starts may be sent to a machine.
 func (h *Holder) ready(m *machine) bool {
-	return h.state == placing && m.up && m.fenced && m.state == live
+	return h.state == placing && m.up && m.fenced && !m.deaf && m.state == live
 }
 
 // passSoon plans what can start, not too often.
@@ -519,6 +544,10 @@
 		return false
 	}
 	if season > m.season {
+		if m.fenced && m.season > 0 && m.state == live && now.Sub(m.answer) < h.Config.Workers.Lease/2 {
+			// Its lease ran out though we answered its reports.
+			h.setDeaf(m, true)
+		}
 		// The worker has killed and forgotten everything of earlier seasons,
 		// and drops answers to reports of those.
 		for _, s := range m.list() {
@@ -530,6 +559,9 @@
 		m.recent = nil
 	}
 	m.season, m.tally, m.heard = season, tally, now
+	if !viaReport {
+		h.setDeaf(m, false) // it answered a command
+	}
 	if rep.NoticeS != nil {
 		if m.notice == 0 {
 			h.Log.Info("the cloud takes a machine back", "machine", m.id, "in_s", *rep.NoticeS)
@@ -560,6 +592,9 @@
 			if !settled {
 				continue
 			}
+			if viaReport {
+				h.setDeaf(m, true)
+			}
 			h.setOff(s, "start was not executed")
 			continue
 		}
@@ -568,6 +603,7 @@
 	if core.Term(rep.Term) >= h.granted && !m.fenced {
 		// It has seen our term: no command of an earlier holder counts any more.
 		m.fenced = true
+		m.unheard = 0
 		m.answer = now
 		h.dirty = true
 		h.Log.Debug("machine accounted for", "machine", m.id)
@@ -580,6 +616,22 @@
 	return true
 }
 
+// setDeaf notes whether what we say reaches a machine. One that reports but does
+// not act on the answers gets no work until it has answered a command; else its
+// starts were lost again and again, each with a lease.
+func (h *Holder) setDeaf(m *machine, deaf bool) {
+	if m.deaf == deaf {
+		return
+	}
+	h.Log.Info("machine hears us", "machine", m.id, "hears", !deaf)
+	m.deaf = deaf
+	h.dirty = true
+	if deaf {
+		h.unplan(m)
+		h.fence(m)
+	}
+}
+
 // moveMachine is the one place where a machine's state changes.
 func (h *Holder) moveMachine(m *machine, to machineState) {
 	if m.state == to {
@@ -682,7 +734,7 @@
 
 // fence shows our term to a machine and asks what is on it.
 func (h *Holder) fence(m *machine) {
-	if m.asking || m.fenced || m.addr == "" || h.state == released {
+	if m.asking || m.fenced && !m.deaf || m.addr == "" || h.state == released {
 		return
 	}
 	m.asking = true
@@ -728,7 +780,7 @@
 	quiet := max(3*w.Report, 2*time.Second)
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
-		if !m.fenced && m.state != lapsed {
+		if !m.fenced && m.state != lapsed || m.deaf && m.state == live {
 			h.fence(m)
 		}
 		if m.state == live && now.Sub(m.heard) > quiet {
@@ -739,6 +791,7 @@
 			// The lease counts from the sending of the last answered report,
 			// which was before our answer: it has surely run out.
 			h.moveMachine(m, lapsed)
+			h.setDeaf(m, true)
 			h.clearMachine(m, "lease surely ran out")
 			m.floor = m.season
 			m.fenced = true
@@ -766,7 +819,7 @@
 }
 
 func (h *Holder) usable(m *machine) bool {
-	return m.state == live && m.fenced && m.notice == 0 && !m.asked && !m.lost && m.total.CPUs > 0 &&
+	return m.state == live && m.fenced && !m.deaf && m.notice == 0 && !m.asked && !m.lost && m.total.CPUs > 0 &&
 		(m.leaving == 0 || m.leaving != h.Mirror.Shelf(h.number).VersionOf(m.id))
 }
 
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -89,6 +89,8 @@
 	tally   core.Tally
 	floor   core.Season // reports of this season and before are dead
 	fenced  bool
+	unheard core.Time // since when it is answered without showing our term
+	deaf    bool      // it reports, but what we say does not reach it
 	asking  bool
 	joined  core.Time
 	heard   core.Time
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -17,17 +17,19 @@
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
+	"lichenstair/internal/worker"
 )
 
 // Env is what a leader works with.
 type Env struct {
-	Loop   core.Loop
-	Log    *slog.Logger
-	Config *config.Config
-	Host   core.Host
-	Mirror *state.Mirror
-	State  *state.Client
-	Cloud  *cloud.Client
+	Loop    core.Loop
+	Log     *slog.Logger
+	Config  *config.Config
+	Host    core.Host
+	Mirror  *state.Mirror
+	State   *state.Client
+	Cloud   *cloud.Client
+	Workers *worker.Client
 	// Kept lists the kinds of machine that are always kept for gangs.
 	Kept func() map[capacity.Kind]bool
 	// Deaf names the controller that should hold a block whose holder does not
@@ -50,6 +52,7 @@
 	list    map[core.MachineID]api.ListedMachine
 	closed  map[capacity.Offer]core.Time
 	free    map[core.MachineID]core.Time
+	asking  map[core.MachineID]bool // unknown machines that are asked whether they are there
 	sending map[core.MachineID]bool // to be returned, not yet confirmed
 	due     []string                // of these, not yet asked for
 	// returning: a request to return machines is on its way or about to be.
@@ -67,7 +70,7 @@
 func New(env Env, record state.Versioned[*state.Leader]) *Leader {
 	l := &Leader{
 		Env: env, record: record, list: map[core.MachineID]api.ListedMachine{}, closed: map[capacity.Offer]core.Time{},
-		free: map[core.MachineID]core.Time{}, sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{},
+		free: map[core.MachineID]core.Time{}, asking: map[core.MachineID]bool{}, sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{},
 		stable: map[core.Host]core.Time{}, deafTo: map[core.Tenure]deafness{},
 	}
 	l.Log.Info("we lead", "term", record.Record.Term)
@@ -88,6 +91,7 @@
 	closedFor  = 15 * time.Second
 	rebalance  = 1500 * time.Millisecond
 	maxReturns = 50
+	maxAsking  = 50
 )
 
 // Tick does what is due.
@@ -630,11 +634,20 @@
 // Saw notes a machine that reports though no block has it.
 func (l *Leader) Saw(rep *api.Report) {
 	id := core.MachineID(rep.Machine)
-	if _, known := l.list[id]; known || l.ended {
+	if _, known := l.list[id]; known || l.ended || l.asking[id] || len(l.asking) >= maxAsking {
 		return
 	}
-	l.list[id] = api.ListedMachine{ID: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot, Phase: api.MachineRunning}
-	l.act()
+	// The report may be a late copy from a machine that is gone: only an answer
+	// to a question shows that it is there.
+	l.asking[id] = true
+	l.Workers.Inspect(rep.Addr, func(now *api.Report) {
+		delete(l.asking, id)
+		if _, known := l.list[id]; known || l.ended || now == nil || now.Machine != rep.Machine {
+			return
+		}
+		l.list[id] = api.ListedMachine{ID: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot, Phase: api.MachineRunning}
+		l.act()
+	})
 }
 
 // plan asks the capacity package what should be where.
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -323,8 +323,8 @@
 	}
 	h := n.holders[num]
 	if h == nil {
-		n.noteStray(id, num)
 		if n.looksDeaf(num) {
+			n.noteStray(&rep, num)
 			// Sent back there, the worker would lose another few seconds of its
 			// lease; the block may be ours in a moment.
 			n.park(&rep, reply)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 
 	parked    []parked
 	strays    map[core.MachineID]stray
+	probing   map[core.MachineID]bool // strays that are asked whether they hear us
 	grants    map[int]grantSeen
 	shapes    capacity.Shapes
 	peers     map[core.Host]heard
@@ -70,7 +71,7 @@
 // New makes a node; Start begins its work. broadcast sends a frame to the other
 // controllers.
 func New(cfg *config.Config, loop core.Loop, call core.Caller, broadcast func([]byte), log *slog.Logger, rnd *rand.Rand) *Node {
-	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]heard{}, strays: map[core.MachineID]stray{}, grants: map[int]grantSeen{}}
+	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]heard{}, strays: map[core.MachineID]stray{}, probing: map[core.MachineID]bool{}, grants: map[int]grantSeen{}}
 	n.state = state.NewClient(loop, call, cfg.State, cfg.StateLim, cfg.Nodes)
 	n.mirror = state.NewMirror(loop, n.state, log)
 	n.cloud = cloud.NewClient(loop, call, cfg.Cloud, cfg.CloudLim)
@@ -240,7 +241,7 @@
 	}
 	if ours && n.leader == nil {
 		n.leader = leader.New(leader.Env{
-			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud, Kept: n.kept, Deaf: n.deaf,
+			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud, Workers: n.workers, Kept: n.kept, Deaf: n.deaf,
 		}, l)
 	}
 	for _, num := range core.Keys(n.holders) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lichenstair/api"
 	"lichenstair/internal/core"
 	"lichenstair/internal/peer"
 )
@@ -90,13 +91,26 @@
 	// its holder comes by about that often.
 	strayTime = 8 * time.Second
 	maxStrays = 1000
+	maxProbes = 100
 )
 
-// noteStray remembers a report that belongs to another holder.
-func (n *Node) noteStray(id core.MachineID, num int) {
-	if len(n.strays) < maxStrays {
-		n.strays[id] = stray{num, n.mirror.Blocks[num].Record.Granted, n.loop.Now()}
+// noteStray remembers a report that belongs to another holder, once the machine
+// has answered a question of ours. One that nothing reaches sends its reports to
+// each controller in turn: its block was moved from holder to holder, and none
+// held it for long enough to be sure that the machine's lease had run out.
+func (n *Node) noteStray(rep *api.Report, num int) {
+	id := core.MachineID(rep.Machine)
+	if n.probing[id] || len(n.strays) >= maxStrays || len(n.probing) >= maxProbes {
+		return
 	}
+	n.probing[id] = true
+	granted := n.mirror.Blocks[num].Record.Granted
+	n.workers.Inspect(rep.Addr, func(now *api.Report) {
+		delete(n.probing, id)
+		if now != nil && core.MachineID(now.Machine) == id {
+			n.strays[id] = stray{num, granted, n.loop.Now()}
+		}
+	})
 }
 
 func (n *Node) strayHints() []peer.StrayHint {
--- a/internal/sim/checker.go
+++ b/internal/sim/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -31,6 +32,7 @@
 	gpus   map[string]float64
 	polls  []pollResult
 	due    Clock
+	calm   Clock // since when all troubles are over; 0: they are not
 }
 
 type watched struct {
@@ -43,6 +45,11 @@
 	failing   Clock // since when all polls fail; 0: they do not
 	anyFailed bool
 	on        int
+	told      Clock // when its user was first told that it is accepted
+	answered  Clock // when a question about it was last answered
+	begun     bool
+	begunAt   Clock
+	hopeless  bool
 }
 
 type pollResult struct {
@@ -78,6 +85,64 @@
 		if j.final == api.PhaseCancelled && j.on > 0 && now > j.toldAt+c.cancel {
 			c.fail("ran_cancelled: %s is still on %d machines", id, j.on)
 		}
+		if c.calm > 0 && j.accepted && !j.asked && now-max(j.answered, j.told, c.calm) > knownWithin {
+			c.fail("forgotten: no question about %s has been answered for %s", id, knownWithin)
+		}
+	}
+}
+
+const (
+	// knownWithin is how long after all troubles no job may go without an answer.
+	knownWithin = 75 * time.Second
+	// beginWithin is how long the largest jobs of a class may wait to begin.
+	beginWithin = 4 * time.Minute
+)
+
+// Calm tells that all troubles are over.
+func (c *Checker) Calm(now Clock) { c.calm = now }
+
+// Served checks that no class, no team and no class's largest jobs were starved:
+// at least half of each must have begun, the largest within four minutes of
+// their acceptance or of the end of the troubles.
+func (c *Checker) Served() {
+	type count struct{ all, served int }
+	counts := map[string]*count{}
+	add := func(group string, served bool) {
+		if counts[group] == nil {
+			counts[group] = &count{}
+		}
+		counts[group].all++
+		if served {
+			counts[group].served++
+		}
+	}
+	sizes := map[string][]float64{}
+	size := func(j *watched) float64 { return float64(j.spec.Tasks) * j.spec.CPUs }
+	due := func(j *watched) bool {
+		return j.accepted && !j.asked && !j.hopeless && c.now-max(j.told, c.calm) > beginWithin
+	}
+	for _, j := range c.jobs {
+		if due(j) {
+			sizes[j.spec.Class] = append(sizes[j.spec.Class], size(j))
+		}
+	}
+	for _, s := range sizes {
+		slices.Sort(s)
+	}
+	for _, j := range c.jobs {
+		if !due(j) {
+			continue
+		}
+		add("class "+j.spec.Class, j.begun)
+		add("team "+j.spec.Team, j.begun)
+		if s := sizes[j.spec.Class]; size(j) >= s[len(s)*9/10] {
+			add("largest of class "+j.spec.Class, j.begun && j.begunAt-max(j.told, c.calm) <= beginWithin)
+		}
+	}
+	for _, group := range core.Keys(counts) {
+		if k := counts[group]; 2*k.served < k.all {
+			c.fail("starved: of %s only %d of %d were served", group, k.served, k.all)
+		}
 	}
 }
 
@@ -97,7 +162,10 @@
 		c.fail("invented: %s", id)
 		return
 	}
-	j.accepted = true
+	if !j.accepted {
+		j.accepted, j.told = true, c.now
+	}
+	j.answered = c.now
 	switch {
 	case j.final != "" && phase != j.final && asked >= j.toldAt:
 		c.fail("went_back: %s was %s and is called %s", id, j.final, phase)
@@ -176,6 +244,9 @@
 		c.fail("invented: %s is started, its job was never submitted", t)
 		return
 	}
+	if !j.begun {
+		j.begun, j.begunAt = true, c.now
+	}
 	if others := c.on[t]; len(others) > 0 {
 		c.fail("ran_twice: %s starts on %s while it is on %v", t, p.ID, others)
 	}
--- a/internal/sim/checker_test.go
+++ b/internal/sim/checker_test.go
@@ -131,3 +131,86 @@
 		}
 	}
 }
+
+// A job about which nobody gets an answer once all troubles are over is
+// forgotten, however others fare; one that was cancelled, or about which there
+// was an answer in time, is not.
+func TestForgottenAfterTroubles(t *testing.T) {
+	history := func(cancel bool, answered time.Duration) *Checker {
+		c := NewChecker([]config.Team{{Name: "red", CPUsMax: 100}}, 30*time.Second)
+		c.Submitted(api.Job{ID: "req-1", Team: "red", Tasks: 1, CPUs: 1})
+		c.Step(time.Second)
+		c.Told("req-1", api.PhaseQueued, 0)
+		if cancel {
+			c.CancelAsked("req-1")
+		}
+		c.Calm(100 * time.Second)
+		for now := time.Second; now < 200*time.Second; now += time.Second {
+			c.Step(now)
+			if now == answered {
+				c.Told("req-1", api.PhaseQueued, now)
+			}
+		}
+		return c
+	}
+	if c := history(false, 0); len(c.Broken) == 0 || !strings.Contains(c.Broken[0], "forgotten") {
+		t.Fatal("a job without an answer for 75 s passes", c.Broken)
+	}
+	for _, c := range []*Checker{history(true, 0), history(false, 150*time.Second)} {
+		if len(c.Broken) > 0 {
+			t.Fatal(c.Broken)
+		}
+	}
+}
+
+// Half of each class, each team and each class's largest jobs must be served,
+// the largest within four minutes.
+func TestStarved(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		begins  func(i int) time.Duration // 0: never
+		starved string
+	}{
+		{"all at once", func(int) time.Duration { return time.Second }, ""},
+		{"team blue never", func(i int) time.Duration { return time.Duration(i%3) * time.Second }, "team blue"},
+		{"the largest late", func(i int) time.Duration {
+			if i >= 27 {
+				return 250 * time.Second
+			}
+			return time.Second
+		}, "largest of class c"},
+		{"one in three", func(i int) time.Duration {
+			if i%9 < 3 {
+				return time.Second
+			}
+			return 0
+		}, "class c"},
+	} {
+		c := NewChecker([]config.Team{{Name: "red", CPUsMax: 1000}, {Name: "blue", CPUsMax: 1000}}, 30*time.Second)
+		for i := range 30 {
+			team := "red"
+			if i%3 == 0 {
+				team = "blue"
+			}
+			id := fmt.Sprintf("req-%d", i)
+			c.Submitted(api.Job{ID: id, Class: "c", Team: team, Tasks: 1 + i, CPUs: 1})
+			c.Told(id, api.PhaseQueued, 0)
+		}
+		for now := time.Duration(0); now <= 300*time.Second; now += time.Second {
+			c.Step(now)
+			for i := range 30 {
+				if now > 0 && tc.begins(i) == now {
+					c.On(core.TaskID{Job: core.JobID(fmt.Sprintf("req-%d", i))}, Place{ID: "n-1", Type: "t", Zone: "a"})
+				}
+			}
+		}
+		c.Broken = nil // several tasks at once are of no interest here
+		c.Served()
+		switch {
+		case tc.starved == "" && len(c.Broken) > 0:
+			t.Errorf("%s: %v", tc.name, c.Broken)
+		case tc.starved != "" && !strings.Contains(strings.Join(c.Broken, "; "), tc.starved):
+			t.Errorf("%s: %s is not found starved: %v", tc.name, tc.starved, c.Broken)
+		}
+	}
+}
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -180,6 +180,41 @@
 			w.Cut(party(m.addr), "", w.cutTime(), w.chance(0.6))
 		}
 	},
+	"deaf worker": func(w *World) {
+		// Its reports arrive; answers and commands do not reach it.
+		if m := w.anyMachine(); m != nil {
+			w.Cut("", party(m.addr), time.Duration(w.between(10, 90)*float64(time.Second)), w.chance(0.3))
+		}
+	},
+	"late copies of reports": func(w *World) {
+		w.LateReports = 0.3
+		w.In(30*time.Second, func() { w.LateReports = 0 })
+	},
+	"alone with its workers": func(w *World) {
+		h, d, hold := party(w.anyHost().name), w.cutTime(), w.chance(0.5)
+		w.CutBoth(h, "state", d, hold)
+		for _, o := range w.Hosts {
+			if party(o.name) != h {
+				w.CutBoth(h, party(o.name), d, hold)
+			}
+		}
+	},
+	"controllers refuse each other": func(w *World) {
+		d := w.cutTime()
+		for i, a := range w.Hosts {
+			for _, b := range w.Hosts[:i] {
+				w.CutBoth(party(a.name), party(b.name), d, false)
+			}
+		}
+	},
+	"zone cut off": func(w *World) {
+		zone, d, hold := w.Cfg.Zones[w.Rand.IntN(len(w.Cfg.Zones))], w.cutTime(), w.chance(0.5)
+		for _, m := range w.Cloud.Up() {
+			if m.zone == zone {
+				w.CutBoth(party(m.addr), "", d, hold)
+			}
+		}
+	},
 	"hang": func(w *World) {
 		if m := w.anyMachine(); m != nil {
 			m.Hang(time.Duration(w.between(2, 30) * float64(time.Second)))
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -38,23 +38,29 @@
 	}
 	w.Populate()
 	w.Load(length, 4*time.Second)
-	at := 30 * time.Second
+	at, calm := 30*time.Second, time.Duration(0)
 	for at < length-60*time.Second && len(faults) > 0 {
 		name := faults[w.Rand.IntN(len(faults))]
 		w.At(at, func() {
 			w.logger().Info("FAULT", "kind", name)
 			Faults[name](w)
 		})
+		calm = at + longestFault
 		at += time.Duration(w.between(2, 50) * float64(time.Second))
 	}
-	w.Run(length + 120*time.Second)
+	w.At(calm, func() { w.Check.Calm(max(w.Now(), time.Nanosecond)) })
+	w.Run(max(length, calm) + 260*time.Second)
 	w.Check.End()
+	w.Check.Served()
 	if len(w.Check.Broken) > 0 {
 		t.Fatalf("seed %d, faults %v: %v", seed, faults, w.Check.Broken)
 	}
 	return w
 }
 
+// longestFault is how long a trouble can last.
+const longestFault = 160 * time.Second
+
 // seeds returns how many seeds a test plays; SIM_SEEDS asks for more.
 func seeds(n int) uint64 {
 	if s, err := strconv.Atoi(os.Getenv("SIM_SEEDS")); err == nil {
@@ -230,3 +236,48 @@
 		})
 	}
 }
+
+// A machine whose reports arrive while nothing reaches it must not keep a new
+// holder from placing, nor get work for ever: its reports never show the new
+// term, and each answer that was held to renew its lease put off the time at
+// which the lease had surely run out.
+func TestDeafMachineDoesNotStopItsBlock(t *testing.T) {
+	for seed := range uint64(4) {
+		w := NewWorld(Settings(3), 900+seed, nil)
+		w.Populate()
+		w.Load(80*time.Second, 2*time.Second)
+		var deaf []*Machine
+		w.At(70*time.Second, func() {
+			for _, m := range w.Cloud.Up() {
+				if len(m.tasks) > 0 && len(deaf) < 3 {
+					deaf = append(deaf, m)
+					w.Cut("", party(m.addr), 300*time.Second, false)
+				}
+			}
+		})
+		w.At(72*time.Second, func() { Faults["crash all"](w) })
+		w.At(115*time.Second, func() {
+			for i, team := range w.Cfg.Teams {
+				j := w.RandomJob(9000 + i)
+				j.Team, j.Form, j.Types, j.Zone, j.GPUs, j.Rank = team.Name, api.FormArray, nil, nil, 0, api.RankProduction
+				j.Tasks, j.CPUs, j.MemoryGB, j.OneZone, j.Scatter = 1, 1, 1, false, false
+				w.Users.Submit(j)
+			}
+		})
+		w.Run(150 * time.Second)
+		if len(w.Check.Broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+		}
+		for i, team := range w.Cfg.Teams {
+			if j := w.Check.jobs[fmt.Sprintf("req-%06d", 9000+i)]; j == nil || !j.begun {
+				t.Fatalf("seed %d: no task of team %s was started", seed, team.Name)
+			}
+		}
+		w.Run(170 * time.Second)
+		for _, m := range deaf {
+			if m.wasted > 3 {
+				t.Fatalf("seed %d: %s got %d starts that never reached it", seed, m.ID, m.wasted)
+			}
+		}
+	}
+}
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -28,7 +28,10 @@
 }
 
 // Hopeless marks a job as one that fails on every machine.
-func (u *Users) Hopeless(id string) { u.jobs[id].hopeless = true }
+func (u *Users) Hopeless(id string) {
+	u.jobs[id].hopeless = true
+	u.w.Check.jobs[id].hopeless = true
+}
 
 // Submit submits a job now, and polls it until it is over.
 func (u *Users) Submit(spec api.Job) {
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -36,6 +36,7 @@
 	hung   Clock
 	waits  []func() // what came while it hung
 
+	wasted   int // answers with starts that did not arrive
 	season   uint64
 	tally    uint64
 	warrant  uint64
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -5,12 +5,14 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
+	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
@@ -60,6 +62,9 @@
 	Reset float64
 	// Repeat is the share of requests that arrive a second time, later.
 	Repeat float64
+	// LateReports is the share of reports of which a copy comes later, from
+	// seconds to several leases.
+	LateReports float64
 
 	now    Clock
 	seq    uint64
@@ -154,7 +159,7 @@
 }
 
 // carry delivers f from one party to another, if nothing is in the way.
-func (w *World) carry(from, to party, f func()) {
+func (w *World) carry(from, to party, f func()) (sent bool) {
 	delay := time.Duration(w.between(0.2, 1.5) * float64(time.Millisecond))
 	if w.chance(0.001) {
 		delay += 200 * time.Millisecond // a lost packet, sent again
@@ -179,6 +184,22 @@
 	if !lost {
 		w.At(at, f)
 	}
+	return !lost
+}
+
+// wasted counts starts that a machine was given and that did not reach it.
+func (w *World) wasted(to party, res core.Response) {
+	m := w.Cloud.byAddr[string(to)]
+	var a api.ReportAnswer
+	if m == nil || json.Unmarshal(res.Body, &a) != nil {
+		return
+	}
+	for _, o := range a.Orders {
+		if o.Verb == api.VerbRun {
+			m.wasted++
+			return
+		}
+	}
 }
 
 // handler answers a request; reply may be called later.
@@ -208,9 +229,21 @@
 	}
 	w.carry(from, to, func() {
 		h(from, r, func(res core.Response) {
-			w.carry(to, from, func() { settle(res) })
+			if !w.carry(to, from, func() { settle(res) }) {
+				w.wasted(from, res)
+			}
 		})
 	})
+	if w.LateReports > 0 && r.Path == "/hello" && w.chance(w.LateReports) {
+		for range 1 + w.Rand.IntN(3) {
+			w.In(time.Duration(w.between(2, 4*w.Cfg.Workers.Lease.Seconds())*float64(time.Second)), func() {
+				// The machine may be gone by then, and the controller another process.
+				if _, h := w.route(r.Addr); h != nil {
+					h(from, r, func(core.Response) {})
+				}
+			})
+		}
+	}
 	if w.Repeat > 0 && r.Path != "/watch" && w.chance(w.Repeat) {
 		w.In(time.Duration(w.between(0.01, 150)*float64(time.Second)), func() {
 			if _, h := w.route(r.Addr); h != nil {
