--- a/internal/sim/checker_test.go
+++ b/internal/sim/checker_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
--- /dev/null
+++ b/internal/state/shelf_test.go
@@ -0,0 +1,145 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+
+	"lichenstair/api"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+)
+
+// ledger is a state service as far as transactions go.
+type ledger struct {
+	ring     uint64
+	versions map[string]uint64
+}
+
+// apply carries a transaction out, if its conditions hold, and tells the mirror.
+func (l *ledger) apply(m *Mirror, t api.Txn) bool {
+	for _, c := range t.If {
+		if l.versions[c.Key] != c.Version {
+			return false
+		}
+	}
+	l.ring++
+	var events []api.Event
+	for _, c := range t.Then {
+		l.versions[c.Set] = l.ring
+		events = append(events, api.Event{Set: c.Set, Value: c.Value, Version: l.ring})
+	}
+	m.take(events)
+	return true
+}
+
+func newTestMirror(blocks int) *Mirror {
+	m := &Mirror{log: slog.New(slog.DiscardHandler), complete: true}
+	m.reset()
+	for n := range blocks {
+		m.Blocks[n] = Versioned[*Block]{Record: &Block{Number: n}}
+	}
+	return m
+}
+
+func made(i int) Machine {
+	return Machine{ID: core.MachineID(fmt.Sprintf("n-%06d", i)), Addr: "10.1.200.200:9000", Type: "a-large-machine", Zone: "a-zone-far-away", Spot: true}
+}
+
+// 600 machines must fit values of 8 KiB, within the limits of a transaction, and
+// moves at random must neither lose a machine nor have it twice: blocks were
+// one value of 46 machines each, the pool another, and the rest was of no use.
+func TestLargeFleetFitsTheValues(t *testing.T) {
+	lim := config.StateLimits{ValueBytes: 8 << 10, TxnOps: 40}
+	const fleet, blocks, ops = 600, 3, 24
+	m, l := newTestMirror(blocks), &ledger{versions: map[string]uint64{}}
+	commit := func(e *Edit) {
+		t.Helper()
+		var txn api.Txn
+		e.Apply(&txn)
+		raw, _ := json.Marshal(txn)
+		if len(txn.Then) > ops+1 || len(raw) > api.MaxBody {
+			t.Fatalf("%d changes, %d bytes in one transaction", len(txn.Then), len(raw))
+		}
+		for _, c := range txn.Then {
+			if len(c.Value) > lim.ValueBytes {
+				t.Fatalf("%s has %d bytes", c.Set, len(c.Value))
+			}
+		}
+		if len(txn.Then) > 0 && !l.apply(m, txn) {
+			t.Fatal("a transaction from a fresh mirror did not apply")
+		}
+	}
+	where := map[core.MachineID]int{}
+	for i := 0; i < fleet; {
+		e := m.Edit(lim, ops, 0)
+		for i < fleet && e.Add(PoolShelf, made(i)) {
+			where[made(i).ID] = PoolShelf
+			i++
+		}
+		commit(e)
+	}
+	r := rand.New(rand.NewPCG(3, 3))
+	for range 200 {
+		e := m.Edit(lim, ops, r.IntN(blocks+1))
+		for range 1 + r.IntN(60) {
+			mc := made(r.IntN(fleet))
+			to := r.IntN(blocks+1) - 1
+			mc.Up, mc.Asked, mc.Lost, mc.Doomed, mc.Since, mc.Seen = true, true, true, true, 1_700_000_000_000, 1_000_000
+			from := where[mc.ID]
+			if from != to && e.Move(from, to, mc) {
+				where[mc.ID] = to
+			} else if from == to {
+				e.Set(to, mc)
+			}
+		}
+		commit(e)
+		seen := 0
+		for n := PoolShelf; n < blocks; n++ {
+			for mc := range m.Shelf(n).All() {
+				seen++
+				if where[mc.ID] != n {
+					t.Fatalf("%s is on shelf %d, not %d", mc.ID, n, where[mc.ID])
+				}
+			}
+		}
+		if seen != fleet {
+			t.Fatalf("%d machines on the shelves", seen)
+		}
+	}
+}
+
+// Two transactions that bring the same machine, decided from the same picture,
+// must not both take effect, though they write different parts: the first one
+// may be carried out late, after it was given up.
+func TestMachineArrivesOnce(t *testing.T) {
+	lim := config.StateLimits{ValueBytes: 8 << 10, TxnOps: 40}
+	m, l := newTestMirror(2), &ledger{versions: map[string]uint64{}}
+	var first, second api.Txn
+	e := m.Edit(lim, 10, 0)
+	e.Add(PoolShelf, made(1))
+	e.Move(PoolShelf, 0, made(1))
+	e.Apply(&first)
+	e = m.Edit(lim, 10, 0)
+	e.Add(PoolShelf, made(1))
+	e.Move(PoolShelf, 1, made(1))
+	e.Apply(&second)
+	if !l.apply(m, second) || l.apply(m, first) {
+		t.Fatal("the machine is in two blocks")
+	}
+	// A late release must not apply once the machine's part has changed.
+	var release, raise api.Txn
+	e = m.Edit(lim, 10, 2)
+	e.Move(1, PoolShelf, made(1))
+	e.Apply(&release)
+	e = m.Edit(lim, 10, 0)
+	used := made(1)
+	used.Up = true
+	e.Set(1, used)
+	e.Apply(&raise)
+	if !l.apply(m, raise) || l.apply(m, release) {
+		t.Fatal("a machine in use was released")
+	}
+}
