--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -281,3 +281,62 @@
 		}
 	}
 }
+
+// Five controllers, hundreds of machines and arrays of up to 900 tasks: every
+// record stays below the limit of a value, more machines than fit one value are
+// used, and work goes on through restarts of all, some of them in the middle of
+// an election.
+func TestGrownDeployment(t *testing.T) {
+	cfg := Settings(5)
+	cfg.StateLim.WriteRPS, cfg.StateLim.RPS = 50, 250
+	for i := range cfg.Teams {
+		cfg.Teams[i].CPUs, cfg.Teams[i].CPUsMax = cfg.Teams[i].CPUs*12, cfg.Teams[i].CPUsMax*12
+	}
+	w := NewWorld(cfg, 31, nil)
+	w.Populate()
+	for k := range w.Cloud.Capacity {
+		w.Cloud.Capacity[k] *= 12
+	}
+	for range 30 {
+		for _, z := range cfg.Zones {
+			w.Cloud.Add("small", z, false, 0)
+		}
+	}
+	n := 0
+	var submit func()
+	submit = func() {
+		n++
+		j := w.RandomJob(n)
+		if j.Form == api.FormArray && j.CPUs == 1 {
+			j.Tasks = 20 + w.Rand.IntN(880)
+			if j.GPUs > 0 {
+				j.Tasks = 3
+			}
+		}
+		w.Users.Submit(j)
+		if w.Now() < 100*time.Second {
+			w.In(time.Duration(w.between(0.5, 3)*float64(time.Second)), submit)
+		}
+	}
+	w.At(3*time.Second, submit)
+	w.At(60*time.Second, func() { Faults["election and restart"](w) })
+	w.At(80*time.Second, func() { Faults["zone cut off"](w) })
+	w.At(90*time.Second, func() { Faults["roll"](w) })
+	most, largest := 0, 0
+	for at := 10 * time.Second; at <= 240*time.Second; at += 10 * time.Second {
+		w.Run(at)
+		for _, e := range w.State.keys {
+			largest = max(largest, len(e.value))
+		}
+		most = max(most, len(w.Cloud.Up()))
+	}
+	if len(w.Check.Broken) > 0 {
+		t.Fatal(w.Check.Broken)
+	}
+	if largest > cfg.StateLim.ValueBytes {
+		t.Fatalf("a record of %d bytes", largest)
+	}
+	if most < 120 || w.Check.Starts < 5000 || w.Users.Done < 30 {
+		t.Fatalf("%d machines at most, %d tasks started, %d jobs done", most, w.Check.Starts, w.Users.Done)
+	}
+}
