--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -89,7 +89,7 @@
 	shortTime = 60 * time.Second
 	// headroom is how much of an average arrival within a guarantee is kept
 	// ready on spot machines beyond the mean (tried: 1.5, 3, 6; docs/results.md).
-	headroom = 3.0
+	headroom = 5.0
 	// arrivalWeight is the weight of the newest arrival in that average.
 	arrivalWeight = 0.1
 	// An arrival that is quietGaps times overdue, and by at least quietTime,
