--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -24,6 +24,7 @@
 const (
 	createWait  = 3 * time.Second
 	maxCreates  = 200
+	maxCreating = 3
 	createBytes = 48 << 10
 )
 
@@ -203,10 +204,10 @@
 	return "unknown team", "crew"
 }
 
-// commit writes waiting submissions, many in one transaction, one transaction
-// at a time.
+// commit writes waiting submissions, many in one transaction. A few transactions
+// may be open at a time, so that one whose answer is slow does not hold up all.
 func (n *Node) commit() {
-	if n.creating || len(n.creates) == 0 {
+	if n.creating >= maxCreating || len(n.creates) == 0 {
 		return
 	}
 	t := api.Txn{}
@@ -224,9 +225,9 @@
 		t.If = append(t.If, api.Condition{Key: state.KeyJob(c.id)})
 		t.Then = append(t.Then, api.Change{Set: state.KeyJob(c.id), Value: c.raw})
 	}
-	n.creating = true
+	n.creating++
 	n.state.Txn(t, func(r state.Result) {
-		n.creating = false
+		n.creating--
 		switch r.Outcome {
 		case state.Applied:
 			for _, c := range batch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 	holders    map[int]*block.Holder
 
 	creates  []*create
-	creating bool
+	creating int // transactions open
 	// Policy chooses how tasks are placed; set before Start.
 	Policy placement.Policy
 
