Several open creates and hedged questions are taken out again

What is late comes while nobody can accept: an outage, all controllers down, a node's end before the balancer notices.

--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -24,7 +24,6 @@
 const (
 	createWait  = 3 * time.Second
 	maxCreates  = 200
-	maxCreating = 3
 	createBytes = 48 << 10
 )
 
@@ -204,10 +203,10 @@
 	return "unknown team", "crew"
 }
 
-// commit writes waiting submissions, many in one transaction. A few transactions
-// may be open at a time, so that one whose answer is slow does not hold up all.
+// commit writes waiting submissions, many in one transaction, one transaction
+// at a time.
 func (n *Node) commit() {
-	if n.creating >= maxCreating || len(n.creates) == 0 {
+	if n.creating || len(n.creates) == 0 {
 		return
 	}
 	t := api.Txn{}
@@ -225,9 +224,9 @@
 		t.If = append(t.If, api.Condition{Key: state.KeyJob(c.id)})
 		t.Then = append(t.Then, api.Change{Set: state.KeyJob(c.id), Value: c.raw})
 	}
-	n.creating++
+	n.creating = true
 	n.state.Txn(t, func(r state.Result) {
-		n.creating--
+		n.creating = false
 		switch r.Outcome {
 		case state.Applied:
 			for _, c := range batch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 	holders    map[int]*block.Holder
 
 	creates  []*create
-	creating int // transactions open
+	creating bool
 	// Policy chooses how tasks are placed; set before Start.
 	Policy placement.Policy
 
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -55,10 +55,9 @@
 
 	fresh    core.Time // the mirror shows everything up to this time, at least
 	hasFresh bool
-	waiting  []asker
+	waiting  []func(bool)
+	asking   bool
 	awaiting []await
-	// questions counts those that are open.
-	questions int
 }
 
 // JobEntry is a job with the tasks known to be durably done.
@@ -92,9 +91,6 @@
 	watchPause = 25 * time.Millisecond
 	freshWait  = 2 * time.Second
 	maxWaiting = 500
-	// askAgain is how long a question may stay open before it is asked again.
-	askAgain     = 300 * time.Millisecond
-	maxQuestions = 3
 )
 
 // NewMirror makes an empty mirror; Start fills it.
@@ -418,78 +414,47 @@
 // Fresh calls done(true) once the mirror shows everything that had happened
 // when Fresh was called. All who ask meanwhile share one question to the state
 // service: a transaction without changes, whose revision the mirror must reach.
-// If its answer takes long, the question is asked again beside it: where the
-// service is slow, single answers are slower by far than most.
 func (m *Mirror) Fresh(done func(bool)) {
 	if len(m.waiting) >= maxWaiting {
 		done(false)
 		return
 	}
-	m.waiting = append(m.waiting, asker{m.loop.Now(), done})
-	if m.questions == 0 {
+	m.waiting = append(m.waiting, done)
+	if !m.asking {
 		m.ask()
 	}
 }
 
-// asker waits for proof that the mirror shows everything up to a time.
-type asker struct {
-	since core.Time
-	done  func(bool)
-}
-
-// answer answers all who asked up to a time.
-func (m *Mirror) answer(until core.Time, ok bool) {
-	var ready []func(bool)
-	keep := m.waiting[:0:0]
-	for _, a := range m.waiting {
-		if a.since <= until {
-			ready = append(ready, a.done)
-		} else {
-			keep = append(keep, a)
-		}
-	}
-	m.waiting = keep
-	for _, f := range ready {
-		f(ok)
-	}
-}
-
 func (m *Mirror) ask() {
-	m.questions++
-	settled := false
-	asked := m.loop.Now()
-	m.loop.After(askAgain, func() {
-		if !settled && m.questions < maxQuestions && len(m.waiting) > 0 {
-			m.ask()
-		}
-	})
-	finish := func(ok bool) {
-		settled = true
-		m.questions--
-		if ok && (!m.hasFresh || asked > m.fresh) {
-			m.fresh, m.hasFresh = asked, true
-		}
-		// A question that is still open may yet answer those who wait.
-		if ok || m.questions == 0 {
-			m.answer(asked, ok)
-		}
-		if len(m.waiting) > 0 && m.questions == 0 {
-			m.ask()
+	batch := m.waiting
+	m.waiting = nil
+	m.asking = true
+	answer := func(ok bool) {
+		for _, f := range batch {
+			f(ok)
 		}
 	}
+	asked := core.Time(0)
 	m.client.index(func() { asked = m.loop.Now() }, func(r Result) {
-		if r.Outcome != Applied && r.Outcome != Conflict {
-			finish(false)
-			return
+		m.asking = false
+		if r.Outcome == Applied || r.Outcome == Conflict {
+			m.Await(r.Revision, func(ok bool) {
+				if ok && (!m.hasFresh || asked > m.fresh) {
+					m.fresh, m.hasFresh = asked, true
+				}
+				if !ok && m.phase == following {
+					// The service answers but the watch brings nothing: its
+					// connection may hang. Open another.
+					m.become(following)
+				}
+				answer(ok)
+			})
+		} else {
+			answer(false)
+		}
+		if len(m.waiting) > 0 && !m.asking {
+			m.ask()
 		}
-		m.Await(r.Revision, func(ok bool) {
-			if !ok && m.phase == following {
-				// The service answers but the watch brings nothing: its
-				// connection may hang. Open another.
-				m.become(following)
-			}
-			finish(ok)
-		})
 	})
 }
 
