--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -29,6 +29,7 @@
 	Spot  bool
 	Block int // NoBlock: in the pool
 	Asked bool
+	Ready bool // it is known to have booted
 	Free  time.Duration // how long it has been in the pool
 }
 
@@ -199,7 +200,15 @@
 		}
 		p.rooms = append(p.rooms, &room{m: m, free: placement.Room(t), block: m.Block})
 	}
-	sort.SliceStable(p.rooms, func(a, b int) bool { return p.rooms[a].free.CPUs < p.rooms[b].free.CPUs })
+	sort.SliceStable(p.rooms, func(a, b int) bool {
+		x, y := p.rooms[a], p.rooms[b]
+		if x.free.CPUs != y.free.CPUs {
+			return x.free.CPUs < y.free.CPUs
+		}
+		// One that still boots must not be given to a gang while one that is
+		// up stands idle.
+		return x.m.Ready && !y.m.Ready
+	})
 	jobs := append([]*Job{}, in.Jobs...)
 	sort.SliceStable(jobs, func(a, b int) bool {
 		x, y := jobs[a], jobs[b]
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -104,6 +104,10 @@
 	if len(p.Ask) != 1 || p.Ask[0] != "n-1" || len(p.Rent) != 0 || len(p.Return) != 1 || p.Return[0] != "n-2" {
 		t.Fatalf("%+v", p)
 	}
+	p = plan([]*Job{j}, []*Machine{{ID: "n-1", Type: "large", Zone: "a", Block: NoBlock}, {ID: "n-2", Type: "large", Zone: "a", Block: NoBlock, Ready: true}})
+	if p.Assign["n-2"] != 1 || len(p.Assign) != 1 {
+		t.Fatalf("the machine that boots is given away: %+v", p)
+	}
 	p = plan([]*Job{j}, []*Machine{{ID: "n-1", Type: "large", Zone: "a", Block: NoBlock}})
 	if p.Assign["n-1"] != 1 || len(p.Assign) != 1 {
 		t.Fatalf("%+v", p)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -675,7 +675,7 @@
 		if l.free[m.ID] == 0 {
 			l.free[m.ID] = now
 		}
-		in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: capacity.NoBlock, Free: now.Sub(l.free[m.ID])})
+		in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: capacity.NoBlock, Ready: l.ready(&m), Free: now.Sub(l.free[m.ID])})
 	}
 	for id := range l.free {
 		if !inPool[id] {
@@ -687,7 +687,7 @@
 			if m.Lost || m.Doomed || spoken[m.ID] {
 				continue
 			}
-			in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: n, Asked: m.Asked})
+			in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: n, Asked: m.Asked, Ready: l.ready(&m)})
 		}
 	}
 	var jobs []*capacity.Job
@@ -724,6 +724,11 @@
 	return plan
 }
 
+// ready tells whether a machine has booted: it was in use, or the list says so.
+func (l *Leader) ready(m *state.Machine) bool {
+	return m.Up || m.Seen > 0 || l.list[m.ID].Phase == api.MachineRunning
+}
+
 // rent sends the rentals of a plan; until they are answered, no more are sent.
 func (l *Leader) rent(rentals []capacity.Rental) {
 	if l.rentals > 0 || len(l.rented) > 0 || l.types == nil {
