A leader's key that no tenure ends: nobody led again, and no block was granted

Members are members only with the tenure they registered; a leader's key without its member is taken over.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -29,7 +29,7 @@
 	Spot  bool
 	Block int // NoBlock: in the pool
 	Asked bool
-	Ready bool // it is known to have booted
+	Ready bool          // it is known to have booted
 	Free  time.Duration // how long it has been in the pool
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,10 +157,11 @@
 			return
 		}
 		n.renewing = true
-		asked := n.loop.Now()
-		n.state.Renew(n.tenure, func(status int) {
+		asked, tenure := n.loop.Now(), n.tenure
+		n.state.Renew(tenure, func(status int) {
 			n.renewing = false
 			switch {
+			case n.tenure != tenure:
 			case status >= 200 && status < 300:
 				n.renewedAt = asked
 			case status == 404:
@@ -172,10 +173,16 @@
 }
 
 func (n *Node) register(again func()) {
-	put := state.Put(state.KeyMember(n.cfg.Host), state.Member{Host: n.cfg.Host, Tenure: n.tenure})
-	put.Tenure = uint64(n.tenure)
+	tenure := n.tenure
+	put := state.Put(state.KeyMember(n.cfg.Host), state.Member{Host: n.cfg.Host, Tenure: tenure})
+	put.Tenure = uint64(tenure)
 	t := api.Txn{Then: []api.Change{put}}
 	n.state.Txn(t, func(r state.Result) {
+		if n.tenure != tenure || n.membership != joining {
+			// The tenure was given up meanwhile. A node that took itself for a
+			// member without one was elected under a key that no tenure ends.
+			return
+		}
 		if r.Outcome != state.Applied {
 			again()
 			return
@@ -184,29 +191,37 @@
 	})
 }
 
+// leaderless tells whether nobody leads: there is no leader's key, or one that
+// outlived its tenure, which should not be and must not last.
+func (n *Node) leaderless() bool {
+	l := n.mirror.Leader.Record
+	return l == nil || n.mirror.Members[l.Host].Record.Tenure != l.Tenure
+}
+
 // elect makes this node the leader if there is none.
 func (n *Node) elect() {
-	if n.membership != member || n.electing || n.mirror.Leader.Record != nil {
+	if n.membership != member || n.electing || !n.leaderless() {
 		return
 	}
 	n.electing = true
 	n.loop.After(time.Duration(n.rnd.Int64N(int64(150*time.Millisecond))), func() {
-		if n.mirror.Leader.Record != nil || n.membership != member {
+		if !n.leaderless() || n.membership != member || n.tenure == 0 {
 			n.electing = false
 			return
 		}
+		tenure := n.tenure
 		term := n.mirror.Term.Record.Last + 1
-		put := state.Put(state.KeyLeader, state.Leader{Host: n.cfg.Host, Tenure: n.tenure, Term: term})
-		put.Tenure = uint64(n.tenure)
+		put := state.Put(state.KeyLeader, state.Leader{Host: n.cfg.Host, Tenure: tenure, Term: term})
+		put.Tenure = uint64(tenure)
 		t := api.Txn{
-			If: []api.Condition{{Key: state.KeyLeader}, {Key: state.KeyTerm, Version: uint64(n.mirror.Term.Version)}},
+			If: []api.Condition{{Key: state.KeyLeader, Version: uint64(n.mirror.Leader.Version)}, {Key: state.KeyTerm, Version: uint64(n.mirror.Term.Version)}},
 			Then: []api.Change{
 				state.Put(state.KeyTerm, state.TermCounter{Last: term}),
 				put,
 			},
 		}
 		n.state.Txn(t, func(r state.Result) {
-			if r.Outcome == state.NoTenure {
+			if r.Outcome == state.NoTenure && n.tenure == tenure {
 				n.become(outside)
 			}
 			n.mirror.Fresh(func(bool) { n.electing = false })
