A machine whose lease has surely run out counts as unused, durably

Cause: a new holder waited a whole lease and more, placing nothing, for machines that its predecessor had already proven empty (a cut-off zone, dead or deaf machines). Deaf machines leave the block only back to the cloud.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -455,7 +455,7 @@
 
 // ready tells whether starts may be sent to a machine.
 func (h *Holder) ready(m *machine) bool {
-	return h.state == placing && m.up && m.fenced && !m.deaf && m.state == live
+	return h.state == placing && m.up && m.fenced && !m.deaf && m.state == live && !h.lowered(m)
 }
 
 // passSoon plans what can start, not too often.
@@ -624,7 +624,7 @@
 		return
 	}
 	h.Log.Info("machine hears us", "machine", m.id, "hears", !deaf)
-	m.deaf = deaf
+	m.deaf, m.deafSince = deaf, h.Loop.Now()
 	h.dirty = true
 	if deaf {
 		h.unplan(m)
@@ -809,6 +809,12 @@
 	h.write()
 }
 
+// lowered tells whether a write that calls the machine unused may still be
+// carried out: a start that went out before it would be unknown to a later holder.
+func (h *Holder) lowered(m *machine) bool {
+	return m.lowering != 0 && m.lowering == h.Mirror.Shelf(h.number).VersionOf(m.id)
+}
+
 // unplan drops plans for a machine that does not fetch them.
 func (h *Holder) unplan(m *machine) {
 	for _, s := range m.list() {
@@ -820,7 +826,7 @@
 
 func (h *Holder) usable(m *machine) bool {
 	return m.state == live && m.fenced && !m.deaf && m.notice == 0 && !m.asked && !m.lost && m.total.CPUs > 0 &&
-		(m.leaving == 0 || m.leaving != h.Mirror.Shelf(h.number).VersionOf(m.id))
+		!h.lowered(m) && (m.leaving == 0 || m.leaving != h.Mirror.Shelf(h.number).VersionOf(m.id))
 }
 
 // pass plans starts.
@@ -1083,7 +1089,7 @@
 			continue
 		}
 		version := own.VersionOf(r.ID)
-		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && m.state == live && (m.leaving == version || h.releasable(m, now)) {
+		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && !m.deaf && m.state == live && (m.leaving == version || h.releasable(m, now)) {
 			free := r
 			free.Up, free.Asked, free.Doomed, free.Addr, free.Seen = false, false, false, m.addr, h.term
 			if edit.Move(h.number, state.PoolShelf, free) {
@@ -1096,6 +1102,11 @@
 		if !m.up && !m.empty() || m.up && m.addr != "" && r.Addr != m.addr {
 			r.Up, r.Addr = true, m.addr
 		}
+		if m.state == lapsed && m.empty() && r.Up {
+			// Nothing can be on it: a later holder need not wait for it.
+			r.Up = false
+			m.lowering = version
+		}
 		r.Lost = r.Lost || h.shouldReturn(m, now)
 		r.Doomed = m.notice != 0 || m.state == lapsed
 		if r != was && edit.Set(h.number, r) && r.Lost != was.Lost {
@@ -1144,6 +1155,9 @@
 // shouldReturn tells whether a machine that does not answer should be given up.
 func (h *Holder) shouldReturn(m *machine, now core.Time) bool {
 	w := h.Config.Workers
+	if m.deaf && now.Sub(m.deafSince) > 3*w.Lease {
+		return m.empty()
+	}
 	switch m.state {
 	case unsure:
 		return m.heard == 0 && now.Sub(h.at) > w.Lease+margin
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -84,6 +84,8 @@
 	// releases the machine was sent; until the record has changed, that write
 	// may still be carried out, and nothing may be planned on the machine.
 	leaving core.Revision
+	// lowering is the same for a write that calls the machine unused.
+	lowering core.Revision
 
 	season  core.Season
 	tally   core.Tally
@@ -91,18 +93,20 @@
 	fenced  bool
 	unheard core.Time // since when it is answered without showing our term
 	deaf    bool      // it reports, but what we say does not reach it
-	asking  bool
-	joined  core.Time
-	heard   core.Time
-	answer  core.Time // last time at which a holder may have renewed its lease
-	notice  core.Time // when the cloud takes it; 0: no notice
-	idle    core.Time // since when nothing is booked; 0: something is
-	fails   int
-	shunned core.Time
-	images  map[string]bool
-	recent  []string
-	slots   map[slotKey]*slot
-	held    *held // a report that waits for its answer
+	// deafSince is when deaf last changed.
+	deafSince core.Time
+	asking    bool
+	joined    core.Time
+	heard     core.Time
+	answer    core.Time // last time at which a holder may have renewed its lease
+	notice    core.Time // when the cloud takes it; 0: no notice
+	idle      core.Time // since when nothing is booked; 0: something is
+	fails     int
+	shunned   core.Time
+	images    map[string]bool
+	recent    []string
+	slots     map[slotKey]*slot
+	held      *held // a report that waits for its answer
 }
 
 // held is a report whose answer is kept back for a moment: a worker with
