--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,40 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lichenstair/internal/core"
+)
+
+// BenchmarkPass plans a block of a grown deployment: 88 machines of three kinds,
+// ten arrays of up to 900 tasks, most of which have to wait.
+func BenchmarkPass(b *testing.B) {
+	build := func() ([]*Machine, []*Job, map[string]*Team) {
+		r := rand.New(rand.NewPCG(1, 1))
+		var machines []*Machine
+		for i := range 88 {
+			m := machineOf(fmt.Sprintf("n-%03d", i), []float64{4, 32, 64}[i%8/6], 128)
+			m.MaxTasks = MaxTasks
+			for range int(m.Total.CPUs) / 2 {
+				m.Booked = m.Booked.Plus(Need{CPUs: 1, MemoryGB: 2})
+				m.Releases = append(m.Releases, Release{core.Time(r.Int64N(int64(time.Minute))), Need{CPUs: 1, MemoryGB: 2}})
+			}
+			machines = append(machines, m)
+		}
+		var jobs []*Job
+		for i := range 10 {
+			n := 50 + r.IntN(850)
+			jobs = append(jobs, &Job{ID: core.JobID(fmt.Sprint("req-", i)), Team: "red", At: core.Wall(i), Need: Need{CPUs: 1, MemoryGB: 2}, Tasks: n, Waiting: n, Estimate: 30 * time.Second, Image: fmt.Sprint(i)})
+		}
+		return machines, jobs, map[string]*Team{"red": {Max: Need{CPUs: 5000}}}
+	}
+	for b.Loop() {
+		b.StopTimer()
+		machines, jobs, teams := build()
+		b.StartTimer()
+		Pass(0, machines, jobs, teams, Policy{})
+	}
+}
