--- /dev/null
+++ b/internal/block/bench_test.go
@@ -0,0 +1,31 @@
+package block
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+)
+
+// BenchmarkReport reads and takes in the report of a machine with 32 tasks.
+func BenchmarkReport(b *testing.B) {
+	h, m := testHolder()
+	rep := api.Report{Machine: "n-1", Addr: "10.1.0.1:9000", Type: "large", Zone: "a", Season: 1, Term: 7}
+	for i := range 32 {
+		rep.Tasks = append(rep.Tasks, api.TaskView{Task: fmt.Sprintf("req-000001/%d", i), Attempt: 9, State: api.TaskRunning})
+	}
+	for b.Loop() {
+		rep.Tally++
+		raw, _ := json.Marshal(rep)
+		var got api.Report
+		if err := json.Unmarshal(raw, &got); err != nil {
+			b.Fatal(err)
+		}
+		h.take(m, &got, true, core.Time(rep.Tally))
+	}
+	if len(m.slots) != 32 {
+		b.Fatal(len(m.slots))
+	}
+}
--- /dev/null
+++ b/internal/block/holder_test.go
@@ -0,0 +1,74 @@
+package block
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+	"lichenstair/internal/state"
+	"lichenstair/internal/worker"
+)
+
+// stillLoop is a loop whose time is set by the test; nothing runs later.
+type stillLoop struct{ now core.Time }
+
+func (l *stillLoop) Now() core.Time                         { return l.now }
+func (l *stillLoop) Wall() core.Wall                        { return 0 }
+func (l *stillLoop) After(time.Duration, func())            {}
+func (l *stillLoop) Call(core.Request, func(core.Response)) {}
+
+func testHolder() (*Holder, *machine) {
+	loop := &stillLoop{}
+	log := slog.New(slog.DiscardHandler)
+	cfg := &config.Config{Workers: config.Workers{Report: time.Second, Lease: 10 * time.Second, Cancel: 35 * time.Second}, StateLim: config.StateLimits{RPS: 100, WriteRPS: 40, ValueBytes: 8 << 10, TxnOps: 32}}
+	client := state.NewClient(loop, loop, "", cfg.StateLim, 3)
+	m := &machine{id: "n-1", state: live, fenced: true, up: true, images: map[string]bool{}, slots: map[slotKey]*slot{}}
+	h := &Holder{
+		Env:  Env{Loop: loop, Log: log, Config: cfg, Mirror: state.NewMirror(loop, client, log), State: client, Workers: worker.NewClient(loop)},
+		term: 7, granted: 7, state: placing, machines: map[core.MachineID]*machine{"n-1": m}, jobs: map[core.JobID]*job{},
+	}
+	return h, m
+}
+
+// A late copy proves nothing: it frees no booking, and does not put off the time
+// at which the machine's lease has surely run out. A report that only a direct
+// answer has overtaken is no such copy.
+func TestLateCopy(t *testing.T) {
+	h, m := testHolder()
+	loop := h.Loop.(*stillLoop)
+	report := func(tally uint64, tasks ...api.TaskView) *api.Report {
+		return &api.Report{Machine: "n-1", Addr: "x:1", Type: "t", Season: 1, Tally: tally, Term: 7, Tasks: tasks}
+	}
+	task := api.TaskView{Task: "req-1/0", Attempt: 1, State: api.TaskRunning}
+	h.take(m, report(10, task), true, 0)
+	old := report(5)
+	if h.lateCopy(m, old, loop.now.Add(time.Second)) {
+		t.Fatal("a report that is in flight counts as a late copy")
+	}
+	if !h.lateCopy(m, old, loop.now.Add(6*time.Second)) {
+		t.Fatal("a report from before one of 6 s ago counts as in flight")
+	}
+	if h.take(m, old, true, 0) || m.empty() {
+		t.Fatal("a late copy freed a booking")
+	}
+}
+
+// A start that the machine's next report does not show means that our answers do
+// not reach it: it gets no work until it has answered a command.
+func TestDeafMachineGetsNoWork(t *testing.T) {
+	h, m := testHolder()
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 1, Term: 7}, true, 0)
+	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: starting, sentSeason: 1, sentTally: 1}
+	m.slots[s.slotKey] = s
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 2, Term: 7}, true, 1)
+	if !m.empty() || !m.deaf || h.ready(m) {
+		t.Fatalf("after a start that did not arrive: %d slots, deaf %v", len(m.slots), m.deaf)
+	}
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 3, Term: 7}, false, 2)
+	if m.deaf || !h.ready(m) {
+		t.Fatal("it answered a command and still counts as deaf")
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -111,3 +111,28 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Aims of kinds that we do not know, with fields that we do not know, are no
+// reason to refuse a platform's file; a wrong value in a known field is, by name.
+func TestUnknownAims(t *testing.T) {
+	aims := `
+[[settings.objectives]]
+kind = "makespan"
+share = 0.999
+best = 594.0
+
+[[settings.objectives]]
+kind = "deadline"
+class = "some"
+share = 0.9
+times = 1.5
+`
+	c, err := parse([]byte(good + aims))
+	if err != nil || len(c.Aims) != 2 || c.Aims[1].Times != 1.5 {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	_, err = parse([]byte(good + strings.Replace(aims, "times = 1.5", `times = "soon"`, 1)))
+	if err == nil || !strings.Contains(err.Error(), "times") {
+		t.Fatal(err)
+	}
+}
