--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -61,6 +62,8 @@
 type Level struct {
 	Kept float64 // for gangs, in machines of the kinds kept for them
 	Spot float64 // CPUs for arrays that may use spot machines
+	// Rate is how many such machines arriving gangs want, in a second.
+	Rate float64
 	// Short is how many more CPUs would have brought arrays in time.
 	Short float64
 }
@@ -79,6 +82,8 @@
 	arrival    core.Time     // the last one
 	gap        time.Duration // between arrivals, on the average
 	seen       map[core.JobID]bool
+	rate       float64   // machines that arriving gangs want, in a second
+	gangAt     core.Time // the last gang
 }
 
 const (
@@ -86,6 +91,8 @@
 	peakTime = 30 * time.Second
 	// meanTime is how far the mean looks back.
 	meanTime = 180 * time.Second
+	// rateTime is how far the rate of gangs looks back.
+	rateTime = 120 * time.Second
 	// shortTime is how long a shortage must last to count.
 	shortTime = 60 * time.Second
 	// headroom is how much of an average arrival within a guarantee is kept
@@ -102,12 +109,20 @@
 )
 
 // Arrivals takes in the unfinished jobs: those seen for the first time count.
-func (t *Trend) Arrivals(now core.Time, jobs []*Job) {
+// Of gangs, those for which machines are kept do.
+func (t *Trend) Arrivals(now core.Time, jobs []*Job, kept map[Kind]bool, types map[string]api.MachineType) {
 	seen := map[core.JobID]bool{}
 	last := t.arrival
 	for _, j := range jobs {
 		seen[j.ID] = true
-		if t.seen[j.ID] || j.Gang || !j.Spot {
+		if t.seen[j.ID] {
+			continue
+		}
+		if j.Gang && slices.ContainsFunc(Scarce(&j.Job, types), func(name string) bool { return kept[Kind{name, false}] }) {
+			t.rate += float64(j.Tasks) / rateTime.Seconds()
+			t.gangAt = now
+		}
+		if j.Gang || !j.Spot {
 			continue
 		}
 		t.arrival = now
@@ -139,6 +154,10 @@
 	t.share = t.share*f + (1 - f)
 	f = math.Exp(-passed / shortTime.Seconds())
 	t.short = t.short*f + want.Short*(1-f)
+	t.rate *= math.Exp(-passed / rateTime.Seconds())
+	if t.rate > 0 && now.Sub(t.gangAt).Seconds() > max(quietGaps/t.rate, quietTime.Seconds()) {
+		t.rate *= math.Exp(-passed / fadeTime.Seconds())
+	}
 	if t.quiet(now) {
 		f = math.Exp(-passed / fadeTime.Seconds())
 		t.guaranteed *= f
@@ -148,7 +167,7 @@
 
 // Keep tells how much to keep.
 func (t *Trend) Keep() Level {
-	l := Level{Kept: t.peak, Short: t.short}
+	l := Level{Kept: t.peak, Rate: t.rate, Short: t.short}
 	if t.share > 0 {
 		l.Spot = t.sum/t.share + t.guaranteed*headroom
 	}
@@ -304,7 +323,7 @@
 	sort.SliceStable(idle, func(a, b int) bool { return cost(idle[a]) > cost(idle[b]) })
 	for _, r := range idle {
 		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
-			if have.Kept-1 < math.Round(p.in.Keep.Kept) {
+			if have.Kept-1 < max(math.Round(p.in.Keep.Kept), p.plan.Want.Kept+p.spare(r.m.Type)) {
 				continue
 			}
 			have.Kept--
@@ -319,6 +338,39 @@
 		p.plan.Return = append(p.plan.Return, r.m.ID)
 	}
 	p.rentAhead(have.CPUs)
+	p.rentSpare(have.Kept)
+}
+
+// spare is how many kept machines of a type should be ready beyond those that
+// are wanted now: as many as arriving gangs probably want while one boots.
+func (p *planner) spare(typ string) float64 {
+	wants := p.in.Keep.Rate * (1.2*p.in.Types[typ].BootS + 3)
+	return math.Round(wants + math.Sqrt(wants))
+}
+
+// rentSpare rents kept machines, the cheapest, so that enough are ready.
+func (p *planner) rentSpare(have float64) {
+	var best Offer
+	cost := math.Inf(1)
+	for kind := range p.in.Kept {
+		t := p.in.Types[kind.Type]
+		price := t.Price
+		if kind.Spot {
+			price = t.SpotPrice
+		}
+		for _, zone := range t.Zones {
+			o := Offer{kind.Type, zone, kind.Spot}
+			if p.in.Closed[o] || p.plan.Want.Kept+p.spare(kind.Type) <= have {
+				continue
+			}
+			if price < cost-1e-9 || price < cost+1e-9 && kind.Type+zone < best.Type+best.Zone {
+				best, cost = o, price
+			}
+		}
+	}
+	if best.Type != "" {
+		p.plan.Rent = append(p.plan.Rent, Rental{best, NoBlock, int(min(p.plan.Want.Kept+p.spare(best.Type)-have, 5))})
+	}
 }
 
 // rentAhead rents spot machines, the cheapest by CPU, up to the level that is
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -717,7 +717,7 @@
 		j.Guaranteed = sum[j.Team] <= guaranteed[j.Team]
 	}
 	in.Jobs = jobs
-	l.trend.Arrivals(now, jobs)
+	l.trend.Arrivals(now, jobs, in.Kept, in.Types)
 	in.Keep = l.trend.Keep()
 	plan := capacity.Make(in)
 	l.trend.Note(now, plan.Want)
