--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -323,7 +323,7 @@
 	sort.SliceStable(idle, func(a, b int) bool { return cost(idle[a]) > cost(idle[b]) })
 	for _, r := range idle {
 		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
-			if have.Kept-1 < max(math.Round(p.in.Keep.Kept), p.plan.Want.Kept+p.spare(r.m.Type)) {
+			if have.Kept-1 < p.plan.Want.Kept+p.spare(r.m.Type) {
 				continue
 			}
 			have.Kept--
