--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -68,10 +68,9 @@
 	Short float64
 }
 
-// Trend is what was wanted lately: for gangs a peak that fades, for spot
+// Trend is what was wanted lately: for gangs the rate at which they come, for spot
 // machines, which cost little to keep, a mean over a longer time.
 type Trend struct {
-	peak  float64
 	sum   float64
 	share float64
 	short float64
@@ -87,8 +86,6 @@
 }
 
 const (
-	// peakTime is how fast a peak fades once less is wanted.
-	peakTime = 30 * time.Second
 	// meanTime is how far the mean looks back.
 	meanTime = 180 * time.Second
 	// rateTime is how far the rate of gangs looks back.
@@ -147,9 +144,7 @@
 func (t *Trend) Note(now core.Time, want Level) {
 	passed := now.Sub(t.at).Seconds()
 	t.at = now
-	f := math.Exp(-passed / peakTime.Seconds())
-	t.peak = max(want.Kept, t.peak*f)
-	f = math.Exp(-passed / meanTime.Seconds())
+	f := math.Exp(-passed / meanTime.Seconds())
 	t.sum = t.sum*f + want.Spot*(1-f)
 	t.share = t.share*f + (1 - f)
 	f = math.Exp(-passed / shortTime.Seconds())
@@ -167,7 +162,7 @@
 
 // Keep tells how much to keep.
 func (t *Trend) Keep() Level {
-	l := Level{Kept: t.peak, Rate: t.rate, Short: t.short}
+	l := Level{Rate: t.rate, Short: t.short}
 	if t.share > 0 {
 		l.Spot = t.sum/t.share + t.guaranteed*headroom
 	}
@@ -344,8 +339,7 @@
 // spare is how many kept machines of a type should be ready beyond those that
 // are wanted now: as many as arriving gangs probably want while one boots.
 func (p *planner) spare(typ string) float64 {
-	wants := p.in.Keep.Rate * (1.2*p.in.Types[typ].BootS + 3)
-	return math.Round(wants + math.Sqrt(wants))
+	return math.Round(p.in.Keep.Rate * (1.2*p.in.Types[typ].BootS + 3))
 }
 
 // rentSpare rents kept machines, the cheapest, so that enough are ready.
