--- /dev/null
+++ b/internal/block/pass.go
@@ -0,0 +1,242 @@
+package block
+
+import (
+	"sort"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/capacity"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+)
+
+// passSoon plans what can start, not too often.
+func (h *Holder) passSoon() {
+	now := h.Loop.Now()
+	if !h.dirty || h.state != placing {
+		return
+	}
+	if now.Sub(h.passAt) >= passPause {
+		h.pass()
+		return
+	}
+	if !h.passing {
+		h.passing = true
+		h.Loop.After(h.passAt.Add(passPause).Sub(now), func() {
+			h.passing = false
+			h.passSoon()
+		})
+	}
+}
+
+// unplan drops plans for a machine that does not fetch them.
+func (h *Holder) unplan(m *machine) {
+	for _, s := range m.list() {
+		if s.state == planned {
+			h.setOff(s, "")
+		}
+	}
+}
+
+func (h *Holder) usable(m *machine) bool {
+	return m.state == live && m.fenced && !m.deaf && m.notice == 0 && !m.asked && !m.lost && m.total.CPUs > 0 &&
+		!h.lowered(m) && (m.leaving == 0 || m.leaving != h.Mirror.Shelf(h.number).VersionOf(m.id))
+}
+
+// pass plans starts.
+func (h *Holder) pass() {
+	now := h.Loop.Now()
+	h.passAt = now
+	h.dirty = false
+	types := h.Types()
+	jobs := h.candidates(now)
+	kept := h.keptNow(jobs, types)
+	teams := map[string]*placement.Team{}
+	for _, t := range h.Config.Teams {
+		teams[t.Name] = &placement.Team{Max: placement.Need{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
+	}
+	var machines []*placement.Machine
+	for _, id := range core.Keys(h.machines) {
+		m := h.machines[id]
+		if t, ok := types[m.typ]; ok {
+			m.total = placement.Room(t)
+		}
+		for _, s := range m.list() {
+			if s.booked() && teams[s.team] != nil {
+				teams[s.team].Used = teams[s.team].Used.Plus(s.need)
+			}
+		}
+		if !h.usable(m) {
+			continue
+		}
+		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Tasks: len(m.slots), MaxTasks: placement.MaxTasks, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
+		for _, s := range m.slots {
+			if s.booked() {
+				p.Releases = append(p.Releases, placement.Release{At: h.ends(s, now), Need: s.need})
+			}
+		}
+		machines = append(machines, p)
+	}
+	h.standBack(jobs, machines, teams)
+	for _, j := range jobs {
+		j.NoChoice = capacity.NoChoice(j, types, kept)
+	}
+	res := placement.Pass(now, machines, jobs, teams, h.Policy)
+	for _, st := range res.Starts {
+		h.plan(h.jobs[st.Job], h.machines[st.Machine])
+	}
+	if res.Reserved != "" {
+		h.Log.Debug("oldest waiting job holds a reservation", "job", res.Reserved, "in", res.ReservedAt.Sub(now).String())
+	}
+	h.requestUp()
+	h.flushReady()
+}
+
+// standBack chooses, team by team, the arrays that give way where not all can be
+// in time. A team can use what its arrays have and what is free, or what it is
+// guaranteed, up to its limit.
+func (h *Holder) standBack(jobs []*placement.Job, machines []*placement.Machine, teams map[string]*placement.Team) {
+	free := 0.0
+	for _, m := range machines {
+		if !m.Kept {
+			free += m.Free().CPUs
+		}
+	}
+	hasty := map[string][]*placement.Job{}
+	listed := map[core.JobID]bool{}
+	for _, j := range jobs {
+		listed[j.ID] = true
+		if len(j.Haste.Due) > 0 && j.Late == 0 {
+			hasty[j.Team] = append(hasty[j.Team], j)
+		}
+	}
+	have := map[string]float64{}
+	running := map[string]float64{}
+	for _, j := range h.jobs {
+		if j.gang() {
+			continue
+		}
+		have[j.spec.Team] += j.need.CPUs * float64(j.live())
+		if !listed[j.id] {
+			running[j.spec.Team] += j.work()
+		}
+	}
+	for _, t := range h.Config.Teams {
+		team := teams[t.Name]
+		cpus := min(max(have[t.Name]+free, t.CPUs), t.CPUsMax-(team.Used.CPUs-have[t.Name]))
+		placement.StandBack(h.Loop.Wall(), cpus, running[t.Name], hasty[t.Name])
+	}
+}
+
+// keptNow lists the kinds of machine that arrays must leave alone: those always
+// kept for gangs, and those that a gang waits for now.
+func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) map[capacity.Kind]bool {
+	kept := h.Kept()
+	for _, j := range jobs {
+		if !j.Gang {
+			continue
+		}
+		for _, name := range capacity.Scarce(j, types) {
+			kept[capacity.Kind{Type: name}] = true
+			if j.Spot {
+				kept[capacity.Kind{Type: name, Spot: true}] = true
+			}
+		}
+	}
+	return kept
+}
+
+// ends is when a task ends by estimate; one that overruns is given more time,
+// in growing steps, instead of being expected to end at any moment.
+func (h *Holder) ends(s *slot, now core.Time) core.Time {
+	if s.ends > now {
+		return s.ends
+	}
+	over := now.Sub(s.ends)
+	return now.Add(max(over/2, time.Second))
+}
+
+// candidates lists the jobs with waiting tasks for the placement.
+func (h *Holder) candidates(now core.Time) []*placement.Job {
+	var all []*job
+	for _, j := range h.jobs {
+		all = append(all, j)
+	}
+	sort.Slice(all, func(a, b int) bool {
+		if all[a].at != all[b].at {
+			return all[a].at < all[b].at
+		}
+		return all[a].id < all[b].id
+	})
+	sum := map[string]float64{}
+	guaranteed := map[string]float64{}
+	for _, t := range h.Config.Teams {
+		guaranteed[t.Name] = t.CPUs
+	}
+	var out []*placement.Job
+	for _, j := range all {
+		team := j.spec.Team
+		sum[team] += j.need.CPUs * float64(j.spec.Tasks-j.done.Len())
+		waiting := j.waiting()
+		if waiting <= 0 || j.broken || j.holdoff > now {
+			if j.holdoff > now {
+				h.dirty = true
+			}
+			continue
+		}
+		if j.gang() && len(j.slots) > 0 {
+			continue
+		}
+		described := placement.JobOf(j.id, j.at, j.spec)
+		p := &described
+		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, map[string]int{}, map[core.MachineID]bool{}, sum[team] <= guaranteed[team]
+		wall := h.Loop.Wall()
+		if capacity.Late(h.Config.Aims, j.spec, j.at, wall) {
+			p.Late = len(h.Config.Aims)
+		}
+		p.Overdue = capacity.Overdue(j.at, wall, j.begun())
+		p.Haste = placement.Haste{Due: capacity.Due(h.Config.Aims, j.spec, j.at), Work: j.work()}
+		for _, m := range h.machines {
+			for _, s := range m.slots {
+				if s.task.Job == j.id && s.booked() {
+					p.Zones[m.zone]++
+				}
+			}
+		}
+		for id, until := range j.avoid {
+			if until > now {
+				p.Avoid[id] = true
+				h.dirty = true
+			} else {
+				delete(j.avoid, id)
+			}
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// plan books a task on a machine; the start goes out with its next report.
+func (h *Holder) plan(j *job, m *machine) {
+	i, ok := j.next()
+	if !ok {
+		h.Log.Error("no task waits though the placement counted one", "job", j.id)
+		return
+	}
+	var attempt core.Attempt
+	if j.gang() {
+		for _, s := range j.slots {
+			attempt = s.attempt
+		}
+	}
+	if attempt == 0 {
+		// The term makes it unique among holders, the count among our own.
+		h.seq++
+		attempt = core.Attempt(uint64(h.granted)<<24 + h.seq)
+	}
+	s := &slot{slotKey: slotKey{core.TaskID{Job: j.id, Index: i}, attempt}, machine: m, team: j.spec.Team, need: j.need}
+	s.ends = h.Loop.Now().Add(h.expected(s, m))
+	j.slots[i] = s
+	m.slots[s.slotKey] = s
+	m.idle = 0
+}
--- /dev/null
+++ b/internal/block/reports.go
@@ -0,0 +1,380 @@
+package block
+
+import (
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+)
+
+// Report answers a worker's report, now or, if it has nothing to do, a little
+// later; done(_, false) means that the machine is not ours to answer.
+func (h *Holder) Report(rep *api.Report, done func(api.ReportAnswer, bool)) {
+	m := h.machines[core.MachineID(rep.Machine)]
+	if m == nil || !h.Entitled() || core.Term(rep.Term) > h.term || m.floor == ^core.Season(0) {
+		done(api.ReportAnswer{}, false)
+		return
+	}
+	now := h.Loop.Now()
+	if h.lateCopy(m, rep, now) {
+		done(api.ReportAnswer{}, false)
+		return
+	}
+	h.flush(m)
+	m.addr = rep.Addr
+	fresh := h.take(m, rep, true, now)
+	if !m.fenced {
+		h.fence(m)
+		if m.unheard == 0 {
+			m.unheard = now
+		}
+		if now.Sub(m.unheard) > h.Config.Workers.Lease/2 {
+			// Whatever we answer, its reports do not show our term: nothing
+			// reaches it. An answer held to renew its lease would put off for
+			// ever the time at which that has surely run out, and the whole
+			// block would wait for it.
+			done(api.ReportAnswer{}, false)
+			return
+		}
+	}
+	m.answer = max(m.answer, now)
+	if !fresh {
+		done(api.ReportAnswer{Term: uint64(h.term), Orders: []api.Order{}}, true)
+		return
+	}
+	h.passSoon()
+	if h.urgent(m) {
+		done(api.ReportAnswer{Term: uint64(h.term), Orders: h.orders(m)}, true)
+		return
+	}
+	x := &held{done}
+	m.held = x
+	h.Loop.After(h.holdTime(m), func() {
+		if m.held == x {
+			h.flush(m)
+		}
+	})
+	if m.asked {
+		h.write()
+	}
+}
+
+// lateCopy tells whether a report was sent long ago. A worker gives a report up
+// after a while, so one that is in flight can be older only than a message that
+// we have had since. A late copy must neither show a machine alive nor count as
+// answered: copies that kept coming put off the time at which the lease of a
+// dead machine had surely run out.
+func (h *Holder) lateCopy(m *machine, rep *api.Report, now core.Time) bool {
+	return m.season > 0 && !core.Newer(core.Season(rep.Season), core.Tally(rep.Tally), m.season, m.tally) &&
+		now > m.heard.Add(core.Stretch(answerDrop)+margin)
+}
+
+// holdTime is how long the answer to a worker may be kept back. Its lease counts
+// from the sending of the report, and it gives up after four seconds. One that
+// is busy may soon have something to tell, but not before its next report is
+// allowed: until then, what the next pass plans on it goes out at once instead
+// of with a report that may be seconds away.
+func (h *Holder) holdTime(m *machine) time.Duration {
+	if !m.empty() && !m.planned() {
+		return reportPause - 50*time.Millisecond
+	}
+	return min(answerDrop*5/8, h.Config.Workers.Lease/4)
+}
+
+// flush answers a report that was kept back.
+func (h *Holder) flush(m *machine) {
+	x := m.held
+	if x == nil {
+		return
+	}
+	m.held = nil
+	if h.state == released || h.machines[m.id] != m || !h.Entitled() {
+		x.done(api.ReportAnswer{}, false)
+		return
+	}
+	x.done(api.ReportAnswer{Term: uint64(h.term), Orders: h.orders(m)}, true)
+}
+
+// flushReady answers the reports for which there is something to say by now.
+func (h *Holder) flushReady() {
+	for _, id := range core.Keys(h.machines) {
+		if m := h.machines[id]; m.held != nil && h.urgent(m) {
+			h.flush(m)
+		}
+	}
+}
+
+// urgent tells whether a machine should hear of something at once: a start, or
+// a task that has to stop.
+func (h *Holder) urgent(m *machine) bool {
+	for _, s := range m.slots {
+		if s.state == planned && h.ready(m) || s.state == present && s.stopped == 0 && (s.stop || h.unwanted(s)) {
+			return true
+		}
+	}
+	return false
+}
+
+// unwanted tells whether a task on a machine should not be there: its job is
+// over, or unknown to us, or has the task elsewhere.
+func (h *Holder) unwanted(s *slot) bool {
+	e, j := h.Mirror.Jobs[s.task.Job], h.jobs[s.task.Job]
+	return e == nil || e.Over() || j == nil || j.slots[s.task.Index] != s
+}
+
+// ready tells whether starts may be sent to a machine.
+func (h *Holder) ready(m *machine) bool {
+	return h.state == placing && m.up && m.fenced && !m.deaf && m.state == live && !h.lowered(m)
+}
+
+// orders composes the commands for a machine that has just reported.
+func (h *Holder) orders(m *machine) []api.Order {
+	now := h.Loop.Now()
+	var kills, clears, runs []api.Order
+	for _, s := range m.list() {
+		order := api.Order{Task: s.task.String(), Attempt: uint64(s.attempt)}
+		e := h.Mirror.Jobs[s.task.Job]
+		switch s.state {
+		case exited:
+			if s.cause != api.CauseDone || e == nil || e.Over() || e.Done.Has(s.task.Index) {
+				order.Verb = api.VerbClear
+				clears = append(clears, order)
+			}
+		case present:
+			if unwanted := h.unwanted(s); unwanted || s.stop {
+				grace := s.grace
+				if unwanted {
+					grace = 0
+				}
+				if s.stopped == 0 {
+					s.stopped = now
+				}
+				order.Verb, order.GraceS = api.VerbKill, &grace
+				kills = append(kills, order)
+			}
+		case planned:
+			if h.ready(m) && len(runs) < maxOrders {
+				h.moveSlot(s, starting)
+				s.sentAt, s.sentSeason, s.sentTally = now, m.season, m.tally
+				s.ends = now.Add(h.expected(s, m))
+				order.Verb = api.VerbRun
+				runs = append(runs, order)
+			}
+		}
+	}
+	out := append(append(kills, clears...), runs...)
+	if out == nil {
+		out = []api.Order{}
+	}
+	return out
+}
+
+// expected estimates how long a task will be on a machine.
+func (h *Holder) expected(s *slot, m *machine) time.Duration {
+	j := h.jobs[s.task.Job]
+	if j == nil {
+		return 0
+	}
+	d := j.estimate()
+	if !m.images[j.spec.Image] {
+		if t, ok := h.Types()[m.typ]; ok && t.FetchGBPerS > 0 {
+			d += core.Seconds(j.spec.ImageGB / t.FetchGBPerS)
+		}
+	}
+	return d
+}
+
+// take brings what we know of a machine in line with a report. asked is when
+// the message was requested (direct) or received (report). It tells whether
+// the report was news.
+func (h *Holder) take(m *machine, rep *api.Report, viaReport bool, asked core.Time) bool {
+	now := h.Loop.Now()
+	season, tally := core.Season(rep.Season), core.Tally(rep.Tally)
+	if season <= m.floor || !core.Newer(season, tally, m.season, m.tally) {
+		return false
+	}
+	if season > m.season {
+		if m.fenced && m.season > 0 && m.state == live && now.Sub(m.answer) < h.Config.Workers.Lease/2 {
+			// Its lease ran out though we answered its reports.
+			h.setDeaf(m, true)
+		}
+		// The worker has killed and forgotten everything of earlier seasons,
+		// and drops answers to reports of those.
+		for _, s := range m.list() {
+			if s.state != planned {
+				h.setOff(s, "worker's lease ran out")
+			}
+		}
+		m.images = map[string]bool{}
+		m.recent = nil
+	}
+	m.season, m.tally, m.heard = season, tally, now
+	if !viaReport {
+		h.setDeaf(m, false) // it answered a command
+	}
+	if rep.NoticeS != nil {
+		if m.notice == 0 {
+			h.Log.Info("the cloud takes a machine back", "machine", m.id, "in_s", *rep.NoticeS)
+			h.dirty = true
+		}
+		m.notice = now.Add(core.Seconds(max(*rep.NoticeS, 0))) + 1
+	}
+	seen := map[slotKey]bool{}
+	for _, v := range rep.Tasks {
+		id, err := core.ParseTask(v.Task)
+		if err != nil {
+			continue
+		}
+		k := slotKey{id, core.Attempt(v.Attempt)}
+		seen[k] = true
+		h.see(m, k, v)
+	}
+	for _, s := range m.list() {
+		if seen[s.slotKey] || s.state == planned {
+			continue
+		}
+		if s.state == starting {
+			// A start sent in an answer is settled by the next report, since a
+			// worker has one report in flight; a direct message says so only
+			// once the answer would have been dropped.
+			settled := viaReport && core.Newer(season, tally, s.sentSeason, s.sentTally) ||
+				asked > s.sentAt.Add(core.Stretch(answerDrop)+margin)
+			if !settled {
+				continue
+			}
+			if viaReport {
+				h.setDeaf(m, true)
+			}
+			h.setOff(s, "start was not executed")
+			continue
+		}
+		h.setOff(s, "")
+	}
+	if core.Term(rep.Term) >= h.granted && !m.fenced {
+		// It has seen our term: no command of an earlier holder counts any more.
+		m.fenced = true
+		m.unheard = 0
+		m.answer = now
+		h.dirty = true
+		h.Log.Debug("machine accounted for", "machine", m.id)
+	}
+	if m.fenced {
+		h.moveMachine(m, live)
+	} else if m.state == booting || m.state == lapsed {
+		h.moveMachine(m, unsure)
+	}
+	return true
+}
+
+// setDeaf notes whether what we say reaches a machine. One that reports but does
+// not act on the answers gets no work until it has answered a command; else its
+// starts were lost again and again, each with a lease.
+func (h *Holder) setDeaf(m *machine, deaf bool) {
+	if m.deaf == deaf {
+		return
+	}
+	h.Log.Info("machine hears us", "machine", m.id, "hears", !deaf)
+	m.deaf, m.deafSince = deaf, h.Loop.Now()
+	h.dirty = true
+	if deaf {
+		h.unplan(m)
+		h.fence(m)
+	}
+}
+
+// see takes in one task of a report.
+func (h *Holder) see(m *machine, k slotKey, v api.TaskView) {
+	now := h.Loop.Now()
+	s := m.slots[k]
+	j := h.jobs[k.task.Job]
+	if j != nil && k.task.Index >= j.spec.Tasks {
+		j = nil
+	}
+	if s == nil {
+		s = &slot{slotKey: k, machine: m, state: present, ends: now}
+		if e := h.Mirror.Jobs[k.task.Job]; e != nil {
+			s.team, s.need = e.Team, placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB}
+		}
+		if j != nil {
+			s.ends = now.Add(h.expected(s, m))
+		}
+		m.slots[k] = s
+		if j != nil && v.State != api.TaskExited && !j.done.Has(k.task.Index) {
+			if other := j.slots[k.task.Index]; other == nil {
+				j.slots[k.task.Index] = s
+			} else if other.state == planned {
+				// It already runs here; the plan is dropped.
+				delete(other.machine.slots, other.slotKey)
+				h.moveSlot(other, off)
+				j.slots[k.task.Index] = s
+			}
+		}
+		h.dirty = true
+	}
+	if s.state == exited {
+		return
+	}
+	s.view = v.State
+	if j != nil && (v.State == api.TaskRunning || v.State == api.TaskGathering || v.State == api.TaskSaving) {
+		m.sawImage(j.spec.Image)
+		if s.since == 0 && v.State == api.TaskRunning {
+			h.Log.Debug("task runs", "task", k.task.String(), "attempt", k.attempt, "machine", m.id)
+			s.since = now
+			s.ends = now.Add(j.estimate())
+		}
+	}
+	if v.State != api.TaskExited {
+		h.moveSlot(s, present)
+		return
+	}
+	h.moveSlot(s, exited)
+	s.cause = v.Cause
+	h.dirty = true
+	if j == nil {
+		return
+	}
+	if v.Cause == api.CauseDone {
+		m.fails = 0
+		h.finish(j, k.task.Index)
+		if j.gang() {
+			// A gang completes together: if one task is done, all are.
+			for i := range j.spec.Tasks {
+				h.finish(j, i)
+			}
+		}
+	} else {
+		h.Log.Info("task ended without completing", "task", k.task.String(), "attempt", k.attempt, "machine", m.id, "cause", v.Cause, "saved", v.Saved)
+		h.blame(m, j, v.Cause)
+	}
+	h.unplace(s)
+}
+
+// blame remembers which machines fail tasks, and which jobs fail everywhere.
+func (h *Holder) blame(m *machine, j *job, cause string) {
+	now := h.Loop.Now()
+	switch cause {
+	case api.CauseError:
+		m.fails++
+		j.fails++
+		j.avoid[m.id] = now.Add(avoidTime)
+		if m.fails >= 2 && j.fails < 4 {
+			m.shunned = now.Add(shunTime)
+		}
+		if j.fails >= 4 {
+			// It fails wherever it runs: try it ever more seldom.
+			j.holdoff = now.Add(min(time.Second<<min(j.fails-4, 5), 30*time.Second))
+		}
+	case api.CauseNoSuch:
+		j.fails++
+		j.holdoff = now.Add(min(time.Second<<min(j.fails, 4), 15*time.Second))
+	case api.CauseNoRoom, api.CauseInUse:
+		j.avoid[m.id] = now.Add(3 * time.Second)
+	}
+}
+
+// lowered tells whether a write that calls the machine unused may still be
+// carried out: a start that went out before it would be unknown to a later holder.
+func (h *Holder) lowered(m *machine) bool {
+	return m.lowering != 0 && m.lowering == h.Mirror.Shelf(h.number).VersionOf(m.id)
+}
--- /dev/null
+++ b/internal/leader/machines.go
@@ -0,0 +1,349 @@
+package leader
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/capacity"
+	"lichenstair/internal/cloud"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+	"lichenstair/internal/state"
+)
+
+// machines brings the pool and the blocks' machines to what the cloud lists
+// and what the plan wants.
+func (l *Leader) machines(t *api.Txn) {
+	now := l.Loop.Now()
+	// Beside the parts, the counters of terms and arrivals and each block may be
+	// written.
+	edit := l.Mirror.Edit(l.Config.StateLim, l.Config.StateLim.TxnOps-len(l.Mirror.Blocks)-2, 0)
+	l.noteGone(edit)
+	l.lookAtList(edit)
+	l.noteRented(edit)
+	plan := l.plan(edit, now, l.Loop.Wall())
+	under := map[int]bool{} // blocks whose machines are written
+	raise := map[int]bool{} // of these, those that need a fresh term
+	for _, id := range core.Keys(plan.Assign) {
+		n := plan.Assign[id]
+		m, ok := edit.Find(state.PoolShelf, id)
+		b := l.Mirror.Blocks[n].Record
+		if !ok || b == nil {
+			continue
+		}
+		seen := m.Seen
+		m.Seen, m.Up, m.Asked, m.Lost, m.Doomed = 0, false, false, false, false
+		if !edit.Move(state.PoolShelf, n, m) {
+			break // the rest goes with the next transaction
+		}
+		under[n] = true
+		if seen >= b.Term {
+			raise[n] = true
+		}
+		l.note("machine goes to a block", "machine", id, "type", m.Type, "block", n)
+	}
+	for _, id := range plan.Ask {
+		n, ok := l.Mirror.MachineBlock(id)
+		if !ok {
+			continue
+		}
+		m, _ := edit.Find(n, id)
+		m.Asked = true
+		if edit.Set(n, m) {
+			under[n] = true
+			l.note("machine is asked back", "machine", id, "block", n)
+		}
+	}
+	for _, id := range plan.Return {
+		if m, ok := edit.Find(state.PoolShelf, id); ok && m.Fate == state.Free {
+			m.Fate = state.Returning
+			if edit.Set(state.PoolShelf, m) {
+				l.note("machine is returned", "machine", id, "type", m.Type)
+			}
+		}
+	}
+	if len(raise) > 0 {
+		first := l.draw(t, len(raise))
+		for k, n := range core.Keys(raise) {
+			b := l.Mirror.Blocks[n].Record.Clone()
+			b.Term = first + core.Term(k)
+			l.setBlock(t, b)
+		}
+	}
+	for _, n := range core.Keys(under) {
+		if !raise[n] {
+			l.underBlock(t, n)
+		}
+	}
+	edit.Apply(t)
+	l.returnMarked()
+	l.rent(plan.Rent)
+}
+
+// noteGone writes down which returns the cloud has confirmed, and forgets
+// machines that are gone once the list no longer can name them.
+func (l *Leader) noteGone(edit *state.Edit) {
+	wall := l.Loop.Wall()
+	for _, id := range core.Keys(l.done) {
+		m, pooled := edit.Find(state.PoolShelf, id)
+		_, held := l.Mirror.MachineBlock(id)
+		if !pooled && !held || pooled && m.Fate == state.Gone {
+			delete(l.done, id)
+			continue
+		}
+		m.ID, m.Fate, m.Since = id, state.Gone, wall
+		if pooled {
+			edit.Set(state.PoolShelf, m)
+		} else {
+			edit.Add(state.PoolShelf, m)
+		}
+	}
+	listed := core.Wall(3*l.Config.CloudLim.ListLag.Milliseconds() + 20000)
+	for m := range l.Mirror.Shelf(state.PoolShelf).All() {
+		if _, held := l.Mirror.MachineBlock(m.ID); m.Fate == state.Gone && !held && wall-m.Since > listed {
+			edit.Remove(state.PoolShelf, m.ID)
+		}
+	}
+}
+
+// lookAtList adopts machines that nobody knows of, and gives back failed ones.
+func (l *Leader) lookAtList(edit *state.Edit) {
+	for _, id := range core.Keys(l.list) {
+		m := l.list[id]
+		known, pooled := edit.Find(state.PoolShelf, id)
+		if m.Phase == api.MachineFailed {
+			if !pooled || known.Fate != state.Gone {
+				l.sendBack(id)
+			}
+			continue
+		}
+		if _, held := l.Mirror.MachineBlock(id); held || pooled || l.done[id] || l.sending[id] || l.pendingRent(id) {
+			continue
+		}
+		adopted := state.Machine{
+			ID: id, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Since: l.Loop.Wall() - core.Wall(m.AgeS*1000), Seen: l.Mirror.Term.Record.Last,
+		}
+		if edit.Add(state.PoolShelf, adopted) {
+			l.note("machine adopted", "machine", id, "type", m.Type, "phase", m.Phase)
+		}
+	}
+}
+
+// noteRented writes down the machines that were rented. They stay on the list
+// until the records show them.
+func (l *Leader) noteRented(edit *state.Edit) {
+	still := l.rented[:0]
+	for _, m := range l.rented {
+		_, held := l.Mirror.MachineBlock(m.ID)
+		if l.Mirror.Shelf(state.PoolShelf).VersionOf(m.ID) != 0 || held {
+			continue
+		}
+		still = append(still, m)
+		edit.Add(state.PoolShelf, m)
+	}
+	l.rented = still
+}
+
+func (l *Leader) pendingRent(id core.MachineID) bool {
+	for _, m := range l.rented {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// returnMarked sends back machines whose return is durable: those of the pool
+// marked so, and those that a holder has given up.
+func (l *Leader) returnMarked() {
+	pool := l.Mirror.Shelf(state.PoolShelf)
+	for m := range pool.All() {
+		if m.Fate == state.Returning {
+			l.sendBack(m.ID)
+		}
+	}
+	for _, n := range core.Keys(l.Mirror.Blocks) {
+		for m := range l.Mirror.Shelf(n).All() {
+			if known, ok := pool.Find(m.ID); m.Lost && (!ok || known.Fate != state.Gone) {
+				l.sendBack(m.ID)
+			}
+		}
+	}
+}
+
+// sendBack returns a machine to the cloud, with others that are due.
+func (l *Leader) sendBack(id core.MachineID) {
+	if l.sending[id] || l.done[id] || len(l.due) >= maxReturns {
+		return
+	}
+	l.sending[id] = true
+	l.due = append(l.due, string(id))
+	if !l.returning {
+		l.returning = true
+		l.Loop.After(200*time.Millisecond, l.returnDue)
+	}
+}
+
+// returnDue sends what is due in one request. What becomes due while that is
+// on its way must not wait for ever: it goes with the next one.
+func (l *Leader) returnDue() {
+	names := l.due
+	l.due = nil
+	if l.ended || len(names) == 0 {
+		l.returning = false
+		return
+	}
+	sort.Strings(names)
+	l.Cloud.Return(names, func(ok bool) {
+		for _, id := range names {
+			delete(l.sending, core.MachineID(id))
+			if ok {
+				l.done[core.MachineID(id)] = true
+			}
+		}
+		pause := 200 * time.Millisecond
+		if !ok {
+			pause = time.Second
+		}
+		l.Loop.After(pause, l.returnDue)
+		l.act()
+	})
+}
+
+// Saw notes a machine that reports though no block has it.
+func (l *Leader) Saw(rep *api.Report) {
+	id := core.MachineID(rep.Machine)
+	if _, known := l.list[id]; known || l.ended || l.asking[id] || len(l.asking) >= maxAsking {
+		return
+	}
+	// The report may be a late copy from a machine that is gone: only an answer
+	// to a question shows that it is there.
+	l.asking[id] = true
+	l.Workers.Inspect(rep.Addr, func(now *api.Report) {
+		delete(l.asking, id)
+		if _, known := l.list[id]; known || l.ended || now == nil || now.Machine != rep.Machine {
+			return
+		}
+		l.list[id] = api.ListedMachine{ID: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot, Phase: api.MachineRunning}
+		l.act()
+	})
+}
+
+// plan asks the capacity package what should be where.
+func (l *Leader) plan(edit *state.Edit, now core.Time, wall core.Wall) capacity.Plan {
+	in := capacity.Input{Now: wall, Types: l.priced(), Kept: l.Kept(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
+	for o, until := range l.closed {
+		if until > now {
+			in.Closed[o] = true
+		} else {
+			delete(l.closed, o)
+		}
+	}
+	guaranteed := map[string]float64{}
+	for _, t := range l.Config.Teams {
+		in.TeamMax[t.Name], guaranteed[t.Name] = t.CPUsMax, t.CPUs
+	}
+	inPool := map[core.MachineID]bool{}
+	spoken := map[core.MachineID]bool{}
+	for _, m := range edit.All(state.PoolShelf) {
+		if m.Fate != state.Free {
+			spoken[m.ID] = true
+			continue
+		}
+		inPool[m.ID] = true
+		if l.free[m.ID] == 0 {
+			l.free[m.ID] = now
+		}
+		in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: capacity.NoBlock, Ready: l.ready(&m), Free: now.Sub(l.free[m.ID])})
+	}
+	for id := range l.free {
+		if !inPool[id] {
+			delete(l.free, id)
+		}
+	}
+	for _, n := range core.Keys(l.Mirror.Blocks) {
+		for m := range l.Mirror.Shelf(n).All() {
+			if m.Lost || m.Doomed || spoken[m.ID] {
+				continue
+			}
+			in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: n, Asked: m.Asked, Ready: l.ready(&m)})
+		}
+	}
+	var jobs []*capacity.Job
+	for id, e := range l.Mirror.Jobs {
+		if e.Over() || e.Spec == nil {
+			continue
+		}
+		n, ok := l.Mirror.TeamBlock(e.Team)
+		if !ok {
+			continue
+		}
+		j := &capacity.Job{Job: placement.JobOf(id, e.At, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len()}
+		if e.Spec.DeadlineS != nil {
+			j.Deadline = e.At + core.Wall(*e.Spec.DeadlineS*1000)
+		}
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool {
+		if jobs[a].At != jobs[b].At {
+			return jobs[a].At < jobs[b].At
+		}
+		return jobs[a].ID < jobs[b].ID
+	})
+	sum := map[string]float64{}
+	for _, j := range jobs {
+		sum[j.Team] += j.Need.CPUs * float64(j.Remaining)
+		j.Guaranteed = sum[j.Team] <= guaranteed[j.Team]
+	}
+	in.Jobs = jobs
+	l.trend.Arrivals(now, jobs, in.Kept, in.Types)
+	in.Keep = l.trend.Keep()
+	plan := capacity.Make(in)
+	l.trend.Note(now, plan.Want)
+	return plan
+}
+
+// ready tells whether a machine has booted: it was in use, or the list says so.
+func (l *Leader) ready(m *state.Machine) bool {
+	return m.Up || m.Seen > 0 || l.list[m.ID].Phase == api.MachineRunning
+}
+
+// rent sends the rentals of a plan; until they are answered, no more are sent.
+func (l *Leader) rent(rentals []capacity.Rental) {
+	if l.rentals > 0 || len(l.rented) > 0 || l.types == nil {
+		return
+	}
+	for _, r := range rentals {
+		if l.rentals >= 3 {
+			return
+		}
+		l.seq++
+		l.send(api.Rental{
+			Request: fmt.Sprintf("t%d-%d", l.record.Record.Term, l.seq), Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: min(r.Count, 50),
+		}, r, 0)
+	}
+}
+
+func (l *Leader) send(req api.Rental, r capacity.Rental, tries int) {
+	if tries == 0 {
+		l.rentals++
+	}
+	l.Cloud.Rent(req, func(ids []string, out cloud.RentOutcome) {
+		if out == cloud.Unanswered && tries < 3 && !l.ended {
+			l.send(req, r, tries+1) // the same request again brings the same answer
+			return
+		}
+		l.rentals--
+		l.Log.Info("rental answered", "request", req.Request, "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", req.Count, "got", len(ids), "outcome", int(out))
+		if out != cloud.Rented || len(ids) < req.Count {
+			l.closed[r.Offer] = l.Loop.Now().Add(closedFor)
+		}
+		for _, id := range ids {
+			l.rented = append(l.rented, state.Machine{ID: core.MachineID(id), Type: req.Type, Zone: req.Zone, Spot: req.Spot, Since: l.Loop.Wall()})
+		}
+		l.act()
+	})
+}
