One guarantee tally, one prober, one check of unsettled writes; less work in a pass

The leader and the holder each kept their own sum of what a team's jobs want; the leader and the node each asked machines whether they are there; two fields about writes under way had a check each. Zones are counted once a pass, not once a job, and what ordinary machines may cost once a rental, not for each offer.

--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -40,7 +40,7 @@
 
 func (h *Holder) usable(m *machine) bool {
 	return m.state == live && m.fenced && !m.deaf && m.notice == 0 && !m.asked && !m.lost && m.total.CPUs > 0 &&
-		!h.lowered(m) && (m.leaving == 0 || m.leaving != h.Mirror.Shelf(h.number).VersionOf(m.id))
+		!h.unsettled(m, m.lowering) && !h.unsettled(m, m.leaving)
 }
 
 // pass plans starts.
@@ -168,15 +168,12 @@
 		}
 		return all[a].id < all[b].id
 	})
-	sum := map[string]float64{}
-	guaranteed := map[string]float64{}
-	for _, t := range h.Config.Teams {
-		guaranteed[t.Name] = t.CPUs
-	}
+	guarantees := capacity.NewGuarantees(h.Config.Teams)
+	zones := h.zones()
+	wall := h.Loop.Wall()
 	var out []*placement.Job
 	for _, j := range all {
-		team := j.spec.Team
-		sum[team] += j.need.CPUs * float64(j.spec.Tasks-j.done.Len())
+		guaranteed := guarantees.Within(j.spec.Team, j.need.CPUs*float64(j.spec.Tasks-j.done.Len()))
 		waiting := j.waiting()
 		if waiting <= 0 || j.broken || j.holdoff > now {
 			if j.holdoff > now {
@@ -189,20 +186,12 @@
 		}
 		described := placement.JobOf(j.id, j.at, j.spec)
 		p := &described
-		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, map[string]int{}, map[core.MachineID]bool{}, sum[team] <= guaranteed[team]
-		wall := h.Loop.Wall()
+		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, zones[j.id], map[core.MachineID]bool{}, guaranteed
 		if capacity.Late(h.Config.Aims, j.spec, j.at, wall) {
 			p.Late = len(h.Config.Aims)
 		}
 		p.Overdue = capacity.Overdue(j.at, wall, j.begun())
 		p.Haste = placement.Haste{Due: capacity.Due(h.Config.Aims, j.spec, j.at), Work: j.work()}
-		for _, m := range h.machines {
-			for _, s := range m.slots {
-				if s.task.Job == j.id && s.booked() {
-					p.Zones[m.zone]++
-				}
-			}
-		}
 		for id, until := range j.avoid {
 			if until > now {
 				p.Avoid[id] = true
@@ -216,6 +205,23 @@
 	return out
 }
 
+// zones counts the tasks booked on machines, by job and zone.
+func (h *Holder) zones() map[core.JobID]map[string]int {
+	out := map[core.JobID]map[string]int{}
+	for _, m := range h.machines {
+		for _, s := range m.slots {
+			if !s.booked() {
+				continue
+			}
+			if out[s.task.Job] == nil {
+				out[s.task.Job] = map[string]int{}
+			}
+			out[s.task.Job][m.zone]++
+		}
+	}
+	return out
+}
+
 // plan books a task on a machine; the start goes out with its next report.
 func (h *Holder) plan(j *job, m *machine) {
 	i, ok := j.next()
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -125,7 +125,7 @@
 
 // ready tells whether starts may be sent to a machine.
 func (h *Holder) ready(m *machine) bool {
-	return h.state == placing && m.up && m.fenced && !m.deaf && m.state == live && !h.lowered(m)
+	return h.state == placing && m.up && m.fenced && !m.deaf && m.state == live && !h.unsettled(m, m.lowering)
 }
 
 // orders composes the commands for a machine that has just reported.
@@ -373,8 +373,9 @@
 	}
 }
 
-// lowered tells whether a write that calls the machine unused may still be
-// carried out: a start that went out before it would be unknown to a later holder.
-func (h *Holder) lowered(m *machine) bool {
-	return m.lowering != 0 && m.lowering == h.Mirror.Shelf(h.number).VersionOf(m.id)
+// unsettled tells whether a write about a machine, sent under a version of its
+// part, may still be carried out. After one that calls it unused, a start would be
+// unknown to a later holder; after one that releases it, so would all planned there.
+func (h *Holder) unsettled(m *machine, sent core.Revision) bool {
+	return sent != 0 && sent == h.Mirror.Shelf(h.number).VersionOf(m.id)
 }
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -80,9 +80,9 @@
 	up    bool // durable
 	asked bool
 	lost  bool
-	// leaving is the version of the block's record under which a write that
-	// releases the machine was sent; until the record has changed, that write
-	// may still be carried out, and nothing may be planned on the machine.
+	// leaving is the version of the machine's part under which a write that
+	// releases the machine was sent; until the part has changed, that write may
+	// still be carried out, and nothing may be planned on the machine.
 	leaving core.Revision
 	// lowering is the same for a write that calls the machine unused.
 	lowering core.Revision
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -93,7 +93,7 @@
 	// shortTime is how long a shortage must last to count.
 	shortTime = 60 * time.Second
 	// headroom is how much of an average arrival within a guarantee is kept
-	// ready on spot machines beyond the mean (tried: 1.5, 3, 6; docs/results.md).
+	// ready on spot machines beyond the mean (tried: 1.5, 3, 5, 6; docs/results.md).
 	headroom = 5.0
 	// arrivalWeight is the weight of the newest arrival in that average.
 	arrivalWeight = 0.1
@@ -479,14 +479,14 @@
 // ordinary machines are rented freely for work that may use spot machines.
 const scarce = 3
 
-// worthwhile tells how many ordinary machines of a type may be rented for a job.
+// worthwhile tells how many CPUs of ordinary machines may be rented for a job.
 // For work that may use spot machines they cost about three times as much, and
 // what waits for those mostly is done before one has booted: unless hardly
 // anything is there, they are rented only as far as CPUs have been missing for a
 // while to be in time.
-func (p *planner) worthwhile(j *Job, t api.MachineType) int {
+func (p *planner) worthwhile(j *Job) float64 {
 	if j.Gang || !j.Spot {
-		return math.MaxInt
+		return math.Inf(1)
 	}
 	have := 0.0
 	for _, r := range p.rooms {
@@ -495,9 +495,9 @@
 		}
 	}
 	if p.plan.Want.Spot > scarce*have {
-		return math.MaxInt
+		return math.Inf(1)
 	}
-	return int((p.in.Keep.Short - p.ordinary) / t.CPUs)
+	return p.in.Keep.Short - p.ordinary
 }
 
 // missing estimates how many CPUs more would bring arrays in time that cannot be
@@ -543,6 +543,7 @@
 		cost float64
 	}
 	var best *choice
+	ordinary := p.worthwhile(j)
 	for _, name := range core.Keys(p.in.Types) {
 		t := p.in.Types[name]
 		total := placement.Room(t)
@@ -559,7 +560,7 @@
 				if p.in.Closed[o] || p.keeps(j, name, spot) || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
 					continue
 				}
-				if !spot && p.worthwhile(j, t) < 1 {
+				if !spot && ordinary < t.CPUs {
 					continue
 				}
 				price := t.Price
@@ -579,7 +580,7 @@
 	t := p.in.Types[best.o.Type]
 	count := min((n+best.fit-1)/best.fit, 10)
 	if !best.o.Spot && !j.Gang && j.Spot {
-		count = min(count, p.worthwhile(j, t))
+		count = int(min(float64(count), ordinary/t.CPUs))
 		p.ordinary += float64(count) * t.CPUs
 	}
 	if j.Scatter {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -50,7 +50,7 @@
 	list    map[core.MachineID]api.ListedMachine
 	closed  map[capacity.Offer]core.Time
 	free    map[core.MachineID]core.Time
-	asking  map[core.MachineID]bool // unknown machines that are asked whether they are there
+	unknown *worker.Prober          // machines that nobody knows of
 	sending map[core.MachineID]bool // to be returned, not yet confirmed
 	due     []string                // of these, not yet asked for
 	// returning: a request to return machines is on its way or about to be.
@@ -68,7 +68,7 @@
 func New(env Env, record state.Versioned[*state.Leader]) *Leader {
 	l := &Leader{
 		Env: env, record: record, list: map[core.MachineID]api.ListedMachine{}, closed: map[capacity.Offer]core.Time{},
-		free: map[core.MachineID]core.Time{}, asking: map[core.MachineID]bool{}, sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{},
+		free: map[core.MachineID]core.Time{}, unknown: worker.NewProber(env.Workers, maxAsking), sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{},
 		stable: map[core.Host]core.Time{}, deafTo: map[core.Tenure]deafness{},
 	}
 	l.Log.Info("we lead", "term", record.Record.Term)
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -216,15 +216,13 @@
 // Saw notes a machine that reports though no block has it.
 func (l *Leader) Saw(rep *api.Report) {
 	id := core.MachineID(rep.Machine)
-	if _, known := l.list[id]; known || l.ended || l.asking[id] || len(l.asking) >= maxAsking {
+	if _, known := l.list[id]; known || l.ended {
 		return
 	}
 	// The report may be a late copy from a machine that is gone: only an answer
 	// to a question shows that it is there.
-	l.asking[id] = true
-	l.Workers.Inspect(rep.Addr, func(now *api.Report) {
-		delete(l.asking, id)
-		if _, known := l.list[id]; known || l.ended || now == nil || now.Machine != rep.Machine {
+	l.unknown.Ask(rep, func() {
+		if _, known := l.list[id]; known || l.ended {
 			return
 		}
 		l.list[id] = api.ListedMachine{ID: rep.Machine, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot, Phase: api.MachineRunning}
@@ -242,9 +240,8 @@
 			delete(l.closed, o)
 		}
 	}
-	guaranteed := map[string]float64{}
 	for _, t := range l.Config.Teams {
-		in.TeamMax[t.Name], guaranteed[t.Name] = t.CPUsMax, t.CPUs
+		in.TeamMax[t.Name] = t.CPUsMax
 	}
 	inPool := map[core.MachineID]bool{}
 	spoken := map[core.MachineID]bool{}
@@ -293,10 +290,9 @@
 		}
 		return jobs[a].ID < jobs[b].ID
 	})
-	sum := map[string]float64{}
+	guarantees := capacity.NewGuarantees(l.Config.Teams)
 	for _, j := range jobs {
-		sum[j.Team] += j.Need.CPUs * float64(j.Remaining)
-		j.Guaranteed = sum[j.Team] <= guaranteed[j.Team]
+		j.Guaranteed = guarantees.Within(j.Team, j.Need.CPUs*float64(j.Remaining))
 	}
 	in.Jobs = jobs
 	l.trend.Arrivals(now, jobs, in.Kept, in.Types)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 
 	parked    []parked
 	strays    map[core.MachineID]stray
-	probing   map[core.MachineID]bool // strays that are asked whether they hear us
+	prober    *worker.Prober // asks strays whether they hear us
 	grants    map[int]grantSeen
 	shapes    capacity.Shapes
 	peers     map[core.Host]heard
@@ -71,11 +71,12 @@
 // New makes a node; Start begins its work. broadcast sends a frame to the other
 // controllers.
 func New(cfg *config.Config, loop core.Loop, call core.Caller, broadcast func([]byte), log *slog.Logger, rnd *rand.Rand) *Node {
-	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]heard{}, strays: map[core.MachineID]stray{}, probing: map[core.MachineID]bool{}, grants: map[int]grantSeen{}}
+	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]heard{}, strays: map[core.MachineID]stray{}, grants: map[int]grantSeen{}}
 	n.state = state.NewClient(loop, call, cfg.State, cfg.StateLim, cfg.Nodes)
 	n.mirror = state.NewMirror(loop, n.state, log)
 	n.cloud = cloud.NewClient(loop, call, cfg.Cloud, cfg.CloudLim)
 	n.workers = worker.NewClient(call)
+	n.prober = worker.NewProber(n.workers, maxProbes)
 	n.mirror.Changed = n.changed
 	return n
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -100,17 +100,11 @@
 // held it for long enough to be sure that the machine's lease had run out.
 func (n *Node) noteStray(rep *api.Report, num int) {
 	id := core.MachineID(rep.Machine)
-	if n.probing[id] || len(n.strays) >= maxStrays || len(n.probing) >= maxProbes {
+	if len(n.strays) >= maxStrays {
 		return
 	}
-	n.probing[id] = true
 	granted := n.mirror.Blocks[num].Record.Granted
-	n.workers.Inspect(rep.Addr, func(now *api.Report) {
-		delete(n.probing, id)
-		if now != nil && core.MachineID(now.Machine) == id {
-			n.strays[id] = stray{num, granted, n.loop.Now()}
-		}
-	})
+	n.prober.Ask(rep, func() { n.strays[id] = stray{num, granted, n.loop.Now()} })
 }
 
 func (n *Node) strayHints() []peer.StrayHint {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -236,23 +236,24 @@
 	})
 	if w.LateReports > 0 && r.Path == "/hello" && w.chance(w.LateReports) {
 		for range 1 + w.Rand.IntN(3) {
-			w.In(time.Duration(w.between(2, 4*w.Cfg.Workers.Lease.Seconds())*float64(time.Second)), func() {
-				// The machine may be gone by then, and the controller another process.
-				if _, h := w.route(r.Addr); h != nil {
-					h(from, r, func(core.Response) {})
-				}
-			})
+			w.again(from, r, w.between(2, 4*w.Cfg.Workers.Lease.Seconds()))
 		}
 	}
 	if w.Repeat > 0 && r.Path != "/watch" && w.chance(w.Repeat) {
-		w.In(time.Duration(w.between(0.01, 150)*float64(time.Second)), func() {
-			if _, h := w.route(r.Addr); h != nil {
-				h(from, r, func(core.Response) {})
-			}
-		})
+		w.again(from, r, w.between(0.01, 150))
 	}
 }
 
+// again delivers a copy of a request after so many seconds. Its sender may be
+// gone by then, and the receiver another process; nobody gets the answer.
+func (w *World) again(from party, r core.Request, seconds float64) {
+	w.In(time.Duration(seconds*float64(time.Second)), func() {
+		if _, h := w.route(r.Addr); h != nil {
+			h(from, r, func(core.Response) {})
+		}
+	})
+}
+
 func (w *World) route(addr string) (party, handler) {
 	switch addr {
 	case w.Cfg.State:
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -40,3 +40,32 @@
 func (c *Client) Inspect(addr string, done func(*api.Report)) {
 	c.call.Call(core.Request{Addr: addr, Method: "GET", Path: "/inspect", Timeout: timeout}, func(r core.Response) { done(report(r)) })
 }
+
+// Prober asks machines whether they are there and hear us: a report may be a late
+// copy, or come from a machine that nothing reaches. Each is asked once at a time,
+// and no more than most at once.
+type Prober struct {
+	client *Client
+	most   int
+	open   map[core.MachineID]bool
+}
+
+// NewProber makes a prober.
+func NewProber(c *Client, most int) *Prober {
+	return &Prober{c, most, map[core.MachineID]bool{}}
+}
+
+// Ask asks the machine that sent a report; there runs only if it answers.
+func (p *Prober) Ask(rep *api.Report, there func()) {
+	id := core.MachineID(rep.Machine)
+	if p.open[id] || len(p.open) >= p.most {
+		return
+	}
+	p.open[id] = true
+	p.client.Inspect(rep.Addr, func(now *api.Report) {
+		delete(p.open, id)
+		if now != nil && now.Machine == rep.Machine {
+			there()
+		}
+	})
+}
