Sockets shared by need, services' calls with seats of their own, lanes that take turns

Cause: half of the sockets for workers and users is less than the workers of a fleet when one controller is left; questions to machines that are gone could take every call, a renewal's too; 256 places for reports are fewer than machines. Now shares come from the settings and each connection has a place in the queue. Sizes are logged at the start.

--- a/cmd/lichenstair/main.go
+++ b/cmd/lichenstair/main.go
@@ -99,15 +99,15 @@
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
-	loop := core.NewLoop()
-	sockets := cfg.Limits.Sockets
-	call := httpcall.New(loop, max(sockets/4, 8))
+	conns, calls := cfg.Limits.Shares(len(cfg.Peers))
+	loop := core.NewLoop(conns)
+	call := httpcall.New(loop, calls, cfg.State, cfg.Cloud)
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	var n *node.Node
-	lines := peer.NewTransport(cfg.Peers, func(frame []byte) { loop.TryPost(func() { n.Peer(frame) }) }, log)
+	lines := peer.NewTransport(cfg.Peers, func(frame []byte) { loop.Post(func() { n.Peer(frame) }) }, log)
 	n = node.New(cfg, loop, call, lines.Broadcast, log, rnd)
-	server := frontend.New(loop, n, log, max(sockets/2, 16))
-	log.Info("serving", "bind", cfg.Bind, "version", version)
+	server := frontend.New(loop, n, log, conns)
+	log.Info("serving", "bind", cfg.Bind, "version", version, "connections", conns, "calls", calls, "memory_mb", cfg.Limits.MemoryBytes>>20)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(ln) }()
 	go func() { failed <- lines.Serve(peers) }()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -86,6 +86,24 @@
 	Sockets     int
 }
 
+// Sockets for what there is little of: the kept lines to the two services, the
+// lines of the other controllers, listeners and the runtime's own.
+const (
+	PerService  = 16
+	ownSockets  = 2*PerService + 24
+	peerSockets = 3
+)
+
+// Shares divides the sockets: how many connections workers and users may open to
+// us, and how many questions to workers may be on their way at once. One
+// controller may be the only one left for a while, with the connection of every
+// worker, so all that is not needed elsewhere goes there.
+func (l Limits) Shares(peers int) (server, calls int) {
+	left := l.Sockets - ownSockets - peerSockets*peers
+	calls = max(left/8, 8)
+	return max(left-calls, 16), calls
+}
+
 // Operator holds the operators' own settings with defaults filled in.
 type Operator struct {
 	Tenure      time.Duration
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -33,20 +33,32 @@
 	Call(r Request, done func(Response))
 }
 
-// RealLoop is the Loop of a running process.
+// RealLoop is the Loop of a running process. What waits for it stands in three
+// lanes: reports, the node's own timers and answers, and users. The first two
+// take turns, so that neither a burst of reports keeps a renewal waiting nor the
+// other way round; users are served when both are empty, and in every eighth turn.
 type RealLoop struct {
-	start  time.Time
-	urgent chan func()
-	normal chan func()
-	quit   chan struct{}
-	once   sync.Once
+	start   time.Time
+	reports chan func()
+	own     chan func()
+	users   chan func()
+	quit    chan struct{}
+	once    sync.Once
 }
 
-// NewLoop makes a loop; Run must be called for anything to happen.
-func NewLoop() *RealLoop {
-	return &RealLoop{start: time.Now(), urgent: make(chan func(), 256), normal: make(chan func(), 1024), quit: make(chan struct{})}
+// NewLoop makes a loop for at most conns connections, each of which can bring one
+// request at a time: no report is refused for want of a place in the queue, not
+// even if those of all machines come at once. Run must be called for anything to
+// happen.
+func NewLoop(conns int) *RealLoop {
+	return &RealLoop{
+		start: time.Now(), reports: make(chan func(), conns), own: make(chan func(), conns), users: make(chan func(), maxUsers), quit: make(chan struct{}),
+	}
 }
 
+// maxUsers bounds what waits for users; the rest is told to come back.
+const maxUsers = 512
+
 // Now reads the steady clock.
 func (l *RealLoop) Now() Time { return Time(time.Since(l.start)) }
 
@@ -56,29 +68,25 @@
 // After runs f on the loop once d has passed.
 func (l *RealLoop) After(d time.Duration, f func()) { time.AfterFunc(d, func() { l.Post(f) }) }
 
-// Post runs f on the loop soon.
+// Post runs f on the loop soon. It waits for a place in the queue, so it must not
+// be called from the loop itself.
 func (l *RealLoop) Post(f func()) {
 	select {
-	case l.normal <- f:
+	case l.own <- f:
 	case <-l.quit:
 	}
 }
 
-// PostUrgent runs f before anything that waits in Post. It reports false when
-// the queue is full, so that callers can refuse instead of waiting.
-func (l *RealLoop) PostUrgent(f func()) bool {
-	select {
-	case l.urgent <- f:
-		return true
-	default:
-		return false
-	}
-}
+// PostReport runs f, which takes in a report. It tells false when the queue is
+// full, so that callers can refuse instead of waiting.
+func (l *RealLoop) PostReport(f func()) bool { return try(l.reports, f) }
 
-// TryPost is Post for work that can be refused.
-func (l *RealLoop) TryPost(f func()) bool {
+// PostUser is the same for users' requests and health checks.
+func (l *RealLoop) PostUser(f func()) bool { return try(l.users, f) }
+
+func try(lane chan func(), f func()) bool {
 	select {
-	case l.normal <- f:
+	case lane <- f:
 		return true
 	default:
 		return false
@@ -87,17 +95,23 @@
 
 // Run serves the loop until Stop.
 func (l *RealLoop) Run() {
-	for {
-		select {
-		case f := <-l.urgent:
-			f()
+	for turn := 0; ; turn++ {
+		first, second := l.reports, l.own
+		switch {
+		case turn%8 == 7:
+			first, second = l.users, l.own
+		case turn%2 == 1:
+			first, second = second, first
+		}
+		if serve(first) || serve(second) {
 			continue
-		default:
 		}
 		select {
-		case f := <-l.urgent:
+		case f := <-l.reports:
+			f()
+		case f := <-l.own:
 			f()
-		case f := <-l.normal:
+		case f := <-l.users:
 			f()
 		case <-l.quit:
 			return
@@ -105,5 +119,16 @@
 	}
 }
 
+// serve runs what waits longest in a lane, if anything does.
+func serve(lane chan func()) bool {
+	select {
+	case f := <-lane:
+		f()
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop ends Run.
 func (l *RealLoop) Stop() { l.once.Do(func() { close(l.quit) }) }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -28,7 +28,9 @@
 const (
 	answerWait  = 4500 * time.Millisecond
 	readTimeout = 10 * time.Second
-	idleTimeout = 60 * time.Second
+	// An idle connection holds a socket that a worker may need; a worker reports
+	// every few seconds, and a user polls as often.
+	idleTimeout = 20 * time.Second
 )
 
 // New makes a server that keeps at most conns connections.
@@ -92,9 +94,9 @@
 		work := prepare(c)
 		done := make(chan node.Answer, 1)
 		run := func() { work(func(a node.Answer) { done <- a }) }
-		post := s.loop.TryPost
+		post := s.loop.PostUser
 		if urgent {
-			post = s.loop.PostUrgent
+			post = s.loop.PostReport
 		}
 		if !post(run) {
 			return busy(c)
