Renewals and reads no longer wait behind changes

Cause: with 150 changes a second over five controllers a node may make 27 a second; four queued transactions of 24 take 3.5 s, and a renewal stood behind them. The test fails without the change.

--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -41,21 +41,23 @@
 }
 
 // Client sends requests to the state service within this node's share of its
-// limits. What does not fit waits in a bounded queue.
+// limits. What does not fit waits in bounded queues. Requests without changes,
+// renewals among them, do not wait behind changes: a few large transactions take
+// seconds where many controllers share a small rate, as long as a tenure lasts.
 type Client struct {
 	loop     core.Loop
 	call     core.Caller
 	addr     string
 	requests *bucket
 	writes   *bucket
-	queue    []queued
-	waking   bool
+	plain    []queued // without changes
+	changes  []queued
+	waking   core.Time // when drain runs next; 0: when something comes
 }
 
 type queued struct {
 	writes int
 	send   func()
-	refuse func()
 }
 
 const (
@@ -74,28 +76,41 @@
 
 // enqueue sends when the limits allow it; refuse is called when the queue is full.
 func (c *Client) enqueue(writes int, send, refuse func()) {
-	if len(c.queue) >= maxQueue {
+	queue := &c.plain
+	if writes > 0 {
+		queue = &c.changes
+	}
+	if len(*queue) >= maxQueue {
 		refuse()
 		return
 	}
-	c.queue = append(c.queue, queued{writes, send, refuse})
+	*queue = append(*queue, queued{writes, send})
 	c.drain()
 }
 
 func (c *Client) drain() {
-	for len(c.queue) > 0 {
-		q := c.queue[0]
+	for len(c.plain)+len(c.changes) > 0 {
+		queue := &c.plain
+		if len(c.plain) == 0 {
+			queue = &c.changes
+		}
+		q := (*queue)[0]
 		wait := max(c.requests.wait(1), c.writes.wait(float64(q.writes)))
 		if wait > 0 {
-			if !c.waking {
-				c.waking = true
-				c.loop.After(wait, func() { c.waking = false; c.drain() })
+			if at := c.loop.Now().Add(wait); c.waking == 0 || at < c.waking {
+				c.waking = at
+				c.loop.After(wait, func() {
+					if c.waking == at {
+						c.waking = 0
+					}
+					c.drain()
+				})
 			}
 			return
 		}
 		c.requests.take(1)
 		c.writes.take(float64(q.writes))
-		c.queue = c.queue[1:]
+		*queue = (*queue)[1:]
 		q.send()
 	}
 }
--- /dev/null
+++ b/internal/state/client_test.go
@@ -0,0 +1,85 @@
+package state
+
+import (
+	"container/heap"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+)
+
+// stepLoop is a loop on virtual time; every call is answered at once.
+type stepLoop struct {
+	now   core.Time
+	later timers
+	sent  []string
+	at    map[string]core.Time
+}
+
+type timer struct {
+	at  core.Time
+	run func()
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+func (l *stepLoop) Now() core.Time  { return l.now }
+func (l *stepLoop) Wall() core.Wall { return 0 }
+func (l *stepLoop) After(d time.Duration, f func()) {
+	heap.Push(&l.later, timer{l.now.Add(d), f})
+}
+
+func (l *stepLoop) Call(r core.Request, done func(core.Response)) {
+	l.at[r.Path] = l.now
+	l.sent = append(l.sent, r.Path)
+	done(core.Response{Status: 200, Body: []byte(`{}`)})
+}
+
+func (l *stepLoop) run(until core.Time) {
+	for len(l.later) > 0 && l.later[0].at <= until {
+		t := heap.Pop(&l.later).(timer)
+		l.now = t.at
+		t.run()
+	}
+	l.now = until
+}
+
+// Where many controllers share a small rate of changes, a few large transactions
+// take longer than a tenure lasts. A renewal must not wait behind them, also not
+// one that comes while the client sleeps until the next change is allowed.
+func TestRenewalOvertakesChanges(t *testing.T) {
+	l := &stepLoop{at: map[string]core.Time{}}
+	c := NewClient(l, l, "", config.StateLimits{RPS: 400, WriteRPS: 100, ValueBytes: 8 << 10, TxnOps: 32}, 10)
+	for range 4 {
+		txn := api.Txn{}
+		for i := range 24 {
+			txn.Then = append(txn.Then, Put(fmt.Sprint("k", i), 1))
+		}
+		c.Txn(txn, func(Result) {})
+	}
+	l.run(core.Time(500 * time.Millisecond))
+	c.Renew(7, func(int) {})
+	l.run(core.Time(time.Second))
+	renewed, ok := l.at["/grants/7/renew"]
+	if !ok || renewed > core.Time(600*time.Millisecond) {
+		t.Fatalf("the renewal was sent at %v, sent so far: %v", renewed, l.sent)
+	}
+	l.run(core.Time(20 * time.Second))
+	if n := strings.Count(strings.Join(l.sent, " "), "/txn"); n != 4 {
+		t.Fatalf("%d of 4 transactions were sent", n)
+	}
+}
