Machines that do not answer are asked with growing pauses

Cause: each tick asked every machine of the block that had not answered; questions to a dead zone hang for seconds and took up the calls of those that would answer.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -74,6 +74,8 @@
 	shunTime    = 60 * time.Second
 	avoidTime   = 60 * time.Second
 	releaseIdle = 2 * time.Second
+	askPause    = 100 * time.Millisecond // between questions without answer, doubled each time
+	maxAskPause = 3 * time.Second
 )
 
 // New starts to hold a block as its record in the mirror says.
@@ -355,9 +357,18 @@
 	asked := h.Loop.Now()
 	done := func(rep *api.Report, again bool) {
 		m.asking = false
-		if h.state == released || h.machines[m.id] != m || rep == nil || core.MachineID(rep.Machine) != m.id {
+		if h.state == released || h.machines[m.id] != m {
 			return
 		}
+		if rep == nil || core.MachineID(rep.Machine) != m.id {
+			// A question to a machine that is gone hangs for seconds. Asked
+			// without a pause, a zone of them took up every call there is, and
+			// recovery waited for machines that would have answered at once.
+			m.askNext = h.Loop.Now().Add(min(askPause<<min(m.unheeded, 8), maxAskPause))
+			m.unheeded++
+			return
+		}
+		m.unheeded = 0
 		h.take(m, rep, false, asked)
 		if !m.fenced && again && core.Season(rep.Season) > m.floor {
 			h.fence(m)
@@ -394,7 +405,7 @@
 	quiet := max(3*w.Report, 2*time.Second)
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
-		if !m.fenced && m.state != lapsed || m.deaf && m.state == live {
+		if (!m.fenced && m.state != lapsed || m.deaf && m.state == live) && now >= m.askNext {
 			h.fence(m)
 		}
 		if m.state == live && now.Sub(m.heard) > quiet {
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -72,3 +72,30 @@
 		t.Fatal("it answered a command and still counts as deaf")
 	}
 }
+
+// askLoop counts the questions that are sent; none is ever answered.
+type askLoop struct {
+	stillLoop
+	asked int
+}
+
+func (l *askLoop) Call(_ core.Request, done func(core.Response)) {
+	l.asked++
+	done(core.Response{})
+}
+
+// Machines that are gone are asked with growing pauses: a zone of them, asked with
+// each tick, took up every call and kept those waiting that would have answered.
+func TestGoneMachinesAreAskedSeldom(t *testing.T) {
+	h, m := testHolder()
+	loop := &askLoop{}
+	h.Loop, h.Workers = loop, worker.NewClient(loop)
+	m.addr, m.fenced, m.state, m.answer = "x:1", false, unsure, core.Time(time.Hour)
+	for range 50 { // ten seconds of ticks
+		loop.now = loop.now.Add(200 * time.Millisecond)
+		h.Tick()
+	}
+	if loop.asked < 4 || loop.asked > 9 {
+		t.Fatalf("asked %d times in ten seconds", loop.asked)
+	}
+}
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -96,6 +96,8 @@
 	// deafSince is when deaf last changed.
 	deafSince core.Time
 	asking    bool
+	unheeded  int       // questions in a row that got no answer
+	askNext   core.Time // not to be asked again before
 	joined    core.Time
 	heard     core.Time
 	answer    core.Time // last time at which a holder may have renewed its lease
