--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -88,7 +88,7 @@
 	typesEvery = 60 * time.Second
 	closedFor  = 15 * time.Second
 	rebalance  = 1500 * time.Millisecond
-	maxReturns = 50
+	maxReturns = 100 // in one request, by the protocol
 	maxAsking  = 50
 )
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -90,7 +90,6 @@
 	// strayTime is how long a stray report counts: a worker that cannot reach
 	// its holder comes by about that often.
 	strayTime = 8 * time.Second
-	maxStrays = 1000
 	maxProbes = 100
 )
 
@@ -100,9 +99,6 @@
 // held it for long enough to be sure that the machine's lease had run out.
 func (n *Node) noteStray(rep *api.Report, num int) {
 	id := core.MachineID(rep.Machine)
-	if len(n.strays) >= maxStrays {
-		return
-	}
 	granted := n.mirror.Blocks[num].Record.Granted
 	n.prober.Ask(rep, func() { n.strays[id] = stray{num, granted, n.loop.Now()} })
 }
--- /dev/null
+++ b/internal/sim/fleet_test.go
@@ -0,0 +1,174 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"lichenstair/api"
+)
+
+// fleet makes a world of n controllers and about so many machines, of which a
+// quarter are up at the start, with work for most of them: arrays of up to 900
+// tasks, small gangs on whole large machines, some in one zone.
+func fleet(n, machines int, seed uint64) *World {
+	cfg := Settings(n)
+	cfg.Zones = []string{"east", "north", "west", "south"}
+	cfg.StateLim.RPS, cfg.StateLim.WriteRPS = 400, 150
+	cfg.CloudLim.RPS = 5
+	cfg.Workers.Report, cfg.Workers.Lease, cfg.Workers.Cancel = 3*time.Second, 16*time.Second, 42*time.Second
+	cfg.Limits.Sockets = 1700
+	scale := float64(machines) / 12
+	for i := range cfg.Teams {
+		cfg.Teams[i].CPUs, cfg.Teams[i].CPUsMax = cfg.Teams[i].CPUs*scale, cfg.Teams[i].CPUsMax*scale
+	}
+	w := NewWorld(cfg, seed, nil)
+	w.Cloud.Types = []api.MachineType{
+		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 40, FetchGBPerS: 0.3, Price: 0.5, SpotPrice: 0.2, BootS: 20, Zones: cfg.Zones},
+		{Name: "large", CPUs: 32, MemoryGB: 128, CacheGB: 60, FetchGBPerS: 0.4, Price: 2, SpotPrice: 0.8, BootS: 30, Zones: cfg.Zones},
+	}
+	for _, z := range cfg.Zones {
+		share := machines / len(cfg.Zones)
+		w.Cloud.Capacity[kind("small", z, true)] = share * 4 / 10
+		w.Cloud.Capacity[kind("small", z, false)] = share * 4 / 10
+		w.Cloud.Capacity[kind("large", z, false)] = share * 2 / 10
+		for range share * 2 / 10 {
+			w.Cloud.Add("small", z, false, 0)
+		}
+		for range share / 20 {
+			w.Cloud.Add("large", z, false, 0)
+		}
+	}
+	for _, h := range w.Hosts {
+		w.In(time.Duration(w.between(0, 500))*time.Millisecond, h.Start)
+		h.probe()
+	}
+	return w
+}
+
+// fleetLoad submits arrays and gangs until a time, so many in a second.
+func (w *World) fleetLoad(until Clock, arrays, gangs float64) {
+	n := 0
+	submit := func(gang bool) {
+		n++
+		j := api.Job{
+			ID: fmt.Sprintf("req-%06d", n), Class: "counts", Team: w.Cfg.Teams[w.Rand.IntN(len(w.Cfg.Teams))].Name, Form: api.FormArray, Rank: api.RankStandard,
+			Tasks: 20 + w.Rand.IntN(200), CPUs: 1, MemoryGB: 2, Image: fmt.Sprintf("img-%d", w.Rand.IntN(8)), ImageGB: w.between(0.2, 1.5),
+			EstimateS: w.between(15, 60), Spot: true,
+		}
+		if w.chance(0.05) {
+			j.Tasks = 900
+		}
+		d := 2.5*j.EstimateS + 30
+		j.DeadlineS = &d
+		if gang {
+			j.Class, j.Form, j.Rank, j.Tasks, j.CPUs, j.MemoryGB, j.Spot, j.DeadlineS = "joint", api.FormGang, api.RankHigh, 1+w.Rand.IntN(3), 30, 100, false, nil
+			j.CheckpointS, j.SaveS, j.OneZone = 20, 3, w.chance(0.5)
+		}
+		w.Users.Submit(j)
+	}
+	for _, kind := range []struct {
+		rate float64
+		gang bool
+	}{{arrays, false}, {gangs, true}} {
+		var next func()
+		next = func() {
+			if w.now >= until {
+				return
+			}
+			submit(kind.gang)
+			w.In(time.Duration(w.Rand.ExpFloat64()/kind.rate*float64(time.Second)), next)
+		}
+		w.In(3*time.Second, next)
+	}
+}
+
+// Fleets of hundreds of machines, on which many things fall together. No rule is
+// broken, nothing is forgotten, records and transactions stay within the limits
+// (the stand-in for the state service checks those), the service is asked no
+// more often than it allows, and work goes on afterwards.
+func TestFleet(t *testing.T) {
+	quarter := func(f func(*Machine)) func(*World) {
+		return func(w *World) {
+			for _, m := range w.Cloud.Up() {
+				if w.chance(0.25) {
+					f(m)
+				}
+			}
+		}
+	}
+	hang := func(m *Machine) { m.Hang(time.Duration(m.w.between(5, 30) * float64(time.Second))) }
+	fault := func(name string) func(*World) { return Faults[name] }
+	for _, c := range []struct {
+		name            string
+		nodes, machines int
+		seed            uint64
+		faults          []func(*World)
+	}{
+		{"five controllers end at once, then an election is broken off", 5, 900, 51, []func(*World){fault("crash all"), fault("election and restart"), fault("zone cut off")}},
+		{"a quarter dies while the state service is away, then it is slow", 3, 1400, 52, []func(*World){fault("state outage"), quarter((*Machine).Die), fault("state slow"), fault("stall")}},
+		{"a quarter hangs, copies come late, controllers are restarted in turn", 5, 900, 53, []func(*World){quarter(hang), fault("late copies of reports"), fault("roll")}},
+		{"one controller is left, spot machines are taken", 3, 1400, 54, []func(*World){
+			func(w *World) { w.Hosts[0].Restart(30 * time.Second); w.Hosts[1].Restart(25 * time.Second) }, fault("spot wave"), fault("alone with its workers"),
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := fleet(c.nodes, c.machines, c.seed)
+			w.fleetLoad(100*time.Second, 0.8, 0.25)
+			for i, f := range c.faults {
+				w.At(time.Duration(50+i*8)*time.Second, func() { f(w) })
+			}
+			w.At(130*time.Second, func() { w.Check.Calm(w.Now()) })
+			most, parts := 0, 0
+			for at := 10 * time.Second; at <= 220*time.Second; at += 10 * time.Second {
+				w.Run(at)
+				most = max(most, len(w.Cloud.Up()))
+				parts = 0
+				for key, e := range w.State.keys {
+					if len(e.value) > w.Cfg.StateLim.ValueBytes {
+						t.Fatalf("%s has %d bytes", key, len(e.value))
+					}
+					if strings.HasPrefix(key, "lichenstair/machines/") {
+						parts++
+					}
+				}
+			}
+			if len(w.Check.Broken) > 0 {
+				t.Fatal(w.Check.Broken)
+			}
+			over, largest, begun := 0, 0, 0
+			for _, j := range w.Check.jobs {
+				if j.final != "" {
+					over++
+				}
+				if j.spec.Tasks == 900 {
+					largest++
+					if j.begun {
+						begun++
+					}
+				}
+			}
+			t.Logf("%d machines at most, %d parts, %d tasks started, %d of %d jobs over, %d lost by lease, %d refusals", most, parts, w.Check.Starts, over, w.Users.Accepted, w.LeaseKills, w.State.Refusals)
+			if most < c.machines/3 || w.Users.Accepted < 60 || over < w.Users.Accepted/2 || 2*begun < largest {
+				t.Fatalf("%d machines at most, %d of %d jobs over, %d of %d of the largest begun", most, over, w.Users.Accepted, begun, largest)
+			}
+			if w.State.Refusals > 5 {
+				t.Fatalf("the state service refused %d requests for coming too often", w.State.Refusals)
+			}
+			busiest := 0
+			for _, h := range w.Hosts {
+				if p := h.proc; p != nil {
+					busiest = max(busiest, p.mostOpen)
+					if p.mostOpen > p.maxOpen || p.mostCalls > p.maxCalls {
+						t.Fatalf("%s had %d requests and %d calls open", h.name, p.mostOpen, p.mostCalls)
+					}
+				}
+			}
+			if busiest < 20 {
+				t.Fatalf("no controller had more than %d requests open", busiest)
+			}
+		})
+	}
+}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -36,6 +36,11 @@
 	started Clock
 	node    *node.Node
 	dead    bool
+	// Calls to workers on their way and requests not yet answered, with the
+	// bounds that a real process keeps, and the most there were.
+	calls, mostCalls  int
+	open, mostOpen    int
+	maxCalls, maxOpen int
 }
 
 // Start starts the controller, unless it runs.
@@ -52,6 +57,7 @@
 			cfg.Peers = append(cfg.Peers, config.Peer{Host: o.name, Addr: o.addr})
 		}
 	}
+	p.maxOpen, p.maxCalls = cfg.Limits.Shares(len(cfg.Peers))
 	p.node = node.New(&cfg, p, p, p.broadcast, h.w.logger().With("host", h.name), rand.New(rand.NewPCG(h.w.Rand.Uint64(), 1)))
 	p.node.Policy = h.w.Policy
 	p.do(p.node.Start)
@@ -96,6 +102,19 @@
 }
 
 func (p *process) Call(r core.Request, done func(core.Response)) {
+	if r.Addr != p.h.w.Cfg.State && r.Addr != p.h.w.Cfg.Cloud {
+		if p.calls >= p.maxCalls {
+			p.After(0, func() { done(core.Response{}) })
+			return
+		}
+		p.calls++
+		p.mostCalls = max(p.mostCalls, p.calls)
+		answered := done
+		done = func(res core.Response) {
+			p.calls--
+			answered(res)
+		}
+	}
 	p.h.w.exchange(party(p.h.name), r, func(res core.Response) { p.do(func() { done(res) }) })
 }
 
@@ -133,8 +152,15 @@
 		reply(core.Response{Status: 400})
 		return
 	}
+	if p.open >= p.maxOpen {
+		reply(core.Response{Status: 503})
+		return
+	}
+	p.open++
+	p.mostOpen = max(p.mostOpen, p.open)
 	p.do(func() {
 		answer := func(a node.Answer) {
+			p.open--
 			if p.dead {
 				return
 			}
