Machines are assigned under a fresh term of their own, shown to them at once

Cause: a machine moved to a block came with its next report, up to 3 s later, and a raised term made all machines of the block report. Now each block takes its new machines under a term drawn in the assigning transaction; the worker sees it and reports at once. Answers to idle workers are kept back 3.2 s, not 2.5 s.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -46,13 +46,12 @@
 // Holder holds one block.
 type Holder struct {
 	Env
-	number  int
-	state   holderState
-	term    core.Term
-	granted core.Term
-	at      core.Time // when we learnt of the grant
-	seq     uint64
-	round   int
+	number int
+	state  holderState
+	term   core.Term
+	at     core.Time // when we learnt of the grant
+	seq    uint64
+	round  int
 
 	machines map[core.MachineID]*machine
 	jobs     map[core.JobID]*job
@@ -81,7 +80,7 @@
 // New starts to hold a block as its record in the mirror says.
 func New(env Env, rec *state.Block) *Holder {
 	h := &Holder{
-		Env: env, number: rec.Number, term: rec.Term, granted: rec.Granted, at: env.Loop.Now(),
+		Env: env, number: rec.Number, term: rec.Term, at: env.Loop.Now(),
 		machines: map[core.MachineID]*machine{}, jobs: map[core.JobID]*job{},
 	}
 	h.Log = env.Log.With("block", rec.Number)
@@ -95,8 +94,11 @@
 	return h
 }
 
-// Granted returns the term of the grant.
-func (h *Holder) Granted() core.Term { return h.granted }
+// Term returns the term of the grant.
+func (h *Holder) Term() core.Term { return h.term }
+
+// termOf is the term under which a machine is commanded.
+func (h *Holder) termOf(m *machine) core.Term { return max(h.term, m.term) }
 
 // become is the one place where the holder's state changes.
 func (h *Holder) become(s holderState) {
@@ -158,10 +160,6 @@
 // follow brings the machines in line with the block's record.
 func (h *Holder) follow(rec *state.Block) {
 	now := h.Loop.Now()
-	if rec.Term != h.term {
-		h.Log.Info("term raised", "from", h.term, "to", rec.Term)
-		h.term = rec.Term
-	}
 	listed := map[core.MachineID]bool{}
 	for r := range h.Mirror.Shelf(h.number).All() {
 		listed[r.ID] = true
@@ -177,11 +175,12 @@
 				// time without contact was over.
 				m.answer = now.Add(maxSilence(h.Config.Workers))
 			}
+			m.term = r.Term
 			h.machines[r.ID] = m
 			h.dirty = true
 			h.fence(m)
 		}
-		m.up, m.asked, m.lost = r.Up, r.Asked, r.Lost
+		m.up, m.asked, m.lost, m.term = r.Up, r.Asked, r.Lost, r.Term
 	}
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
@@ -355,7 +354,8 @@
 	}
 	m.asking = true
 	asked := h.Loop.Now()
-	done := func(rep *api.Report, again bool) {
+	var done func(rep *api.Report, again bool)
+	done = func(rep *api.Report, again bool) {
 		m.asking = false
 		if h.state == released || h.machines[m.id] != m {
 			return
@@ -370,8 +370,10 @@
 		}
 		m.unheeded = 0
 		h.take(m, rep, false, asked)
-		if !m.fenced && again && core.Season(rep.Season) > m.floor {
-			h.fence(m)
+		if again && core.Season(rep.Season) > m.floor && core.Term(rep.Term) < h.termOf(m) {
+			// A worker that sees a higher term reports at once, and so comes to
+			// us, instead of with its next report some seconds later.
+			h.show(m, done)
 		}
 		h.checkRecovered()
 	}
@@ -379,7 +381,13 @@
 		h.Workers.Inspect(m.addr, func(rep *api.Report) { done(rep, true) })
 		return
 	}
-	h.Workers.Fence(m.addr, h.term, m.season, func(rep *api.Report) { done(rep, false) })
+	h.show(m, done)
+}
+
+// show shows a machine the term under which it is commanded.
+func (h *Holder) show(m *machine, done func(rep *api.Report, again bool)) {
+	m.asking = true
+	h.Workers.Fence(m.addr, h.termOf(m), m.season, func(rep *api.Report) { done(rep, false) })
 }
 
 // checkRecovered starts to place once every machine is accounted for.
@@ -436,7 +444,7 @@
 
 // Hint tells the other controllers how the block stands.
 func (h *Holder) Hint() peer.BlockHint {
-	hint := peer.BlockHint{Number: h.number, Granted: h.granted, Placing: h.state == placing}
+	hint := peer.BlockHint{Number: h.number, Granted: h.term, Placing: h.state == placing}
 	for _, j := range h.jobs {
 		hint.Waiting += max(j.waiting(), 0)
 	}
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -28,7 +28,7 @@
 	m := &machine{id: "n-1", state: live, fenced: true, up: true, images: map[string]bool{}, slots: map[slotKey]*slot{}}
 	h := &Holder{
 		Env:  Env{Loop: loop, Log: log, Config: cfg, Mirror: state.NewMirror(loop, client, log), State: client, Workers: worker.NewClient(loop)},
-		term: 7, granted: 7, state: placing, machines: map[core.MachineID]*machine{"n-1": m}, jobs: map[core.JobID]*job{},
+		term: 7, state: placing, machines: map[core.MachineID]*machine{"n-1": m}, jobs: map[core.JobID]*job{},
 	}
 	return h, m
 }
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -238,7 +238,7 @@
 	if attempt == 0 {
 		// The term makes it unique among holders, the count among our own.
 		h.seq++
-		attempt = core.Attempt(uint64(h.granted)<<24 + h.seq)
+		attempt = core.Attempt(uint64(h.term)<<24 + h.seq)
 	}
 	s := &slot{slotKey: slotKey{core.TaskID{Job: j.id, Index: i}, attempt}, machine: m, team: j.spec.Team, need: j.need}
 	s.ends = h.Loop.Now().Add(h.expected(s, m))
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -12,7 +12,7 @@
 // later; done(_, false) means that the machine is not ours to answer.
 func (h *Holder) Report(rep *api.Report, done func(api.ReportAnswer, bool)) {
 	m := h.machines[core.MachineID(rep.Machine)]
-	if m == nil || !h.Entitled() || core.Term(rep.Term) > h.term || m.floor == ^core.Season(0) {
+	if m == nil || !h.Entitled() || core.Term(rep.Term) > h.termOf(m) || m.floor == ^core.Season(0) {
 		done(api.ReportAnswer{}, false)
 		return
 	}
@@ -40,12 +40,12 @@
 	}
 	m.answer = max(m.answer, now)
 	if !fresh {
-		done(api.ReportAnswer{Term: uint64(h.term), Orders: []api.Order{}}, true)
+		done(api.ReportAnswer{Term: uint64(h.termOf(m)), Orders: []api.Order{}}, true)
 		return
 	}
 	h.passSoon()
 	if h.urgent(m) {
-		done(api.ReportAnswer{Term: uint64(h.term), Orders: h.orders(m)}, true)
+		done(api.ReportAnswer{Term: uint64(h.termOf(m)), Orders: h.orders(m)}, true)
 		return
 	}
 	x := &held{done}
@@ -79,7 +79,7 @@
 	if !m.empty() && !m.planned() {
 		return reportPause - 50*time.Millisecond
 	}
-	return min(answerDrop*5/8, h.Config.Workers.Lease/4)
+	return h.Config.Workers.Hold()
 }
 
 // flush answers a report that was kept back.
@@ -93,7 +93,7 @@
 		x.done(api.ReportAnswer{}, false)
 		return
 	}
-	x.done(api.ReportAnswer{Term: uint64(h.term), Orders: h.orders(m)}, true)
+	x.done(api.ReportAnswer{Term: uint64(h.termOf(m)), Orders: h.orders(m)}, true)
 }
 
 // flushReady answers the reports for which there is something to say by now.
@@ -251,7 +251,7 @@
 		}
 		h.setOff(s, "")
 	}
-	if core.Term(rep.Term) >= h.granted && !m.fenced {
+	if core.Term(rep.Term) >= h.term && !m.fenced {
 		// It has seen our term: no command of an earlier holder counts any more.
 		m.fenced = true
 		m.unheard = 0
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -80,6 +80,7 @@
 	up    bool // durable
 	asked bool
 	lost  bool
+	term  core.Term // under which it was assigned to the block
 	// leaving is the version of the machine's part under which a write that
 	// releases the machine was sent; until the part has changed, that write may
 	// still be carried out, and nothing may be planned on the machine.
--- a/internal/block/write.go
+++ b/internal/block/write.go
@@ -26,7 +26,7 @@
 		return
 	}
 	b, ok := h.Mirror.Blocks[h.number]
-	if !ok || b.Record.Granted != h.granted || b.Record.Holder != h.Host {
+	if !ok || b.Record.Term != h.term || b.Record.Holder != h.Host {
 		return
 	}
 	t := api.Txn{If: []api.Condition{{Key: state.KeyBlock(h.number), Version: uint64(b.Version)}}}
@@ -74,7 +74,7 @@
 		version := own.VersionOf(r.ID)
 		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && !m.deaf && m.state == live && (m.leaving == version || h.releasable(m, now)) {
 			free := r
-			free.Up, free.Asked, free.Doomed, free.Addr, free.Seen = false, false, false, m.addr, h.term
+			free.Up, free.Asked, free.Doomed, free.Addr, free.Seen, free.Term = false, false, false, m.addr, h.termOf(m), 0
 			if edit.Move(h.number, state.PoolShelf, free) {
 				h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
 				m.leaving = version
@@ -188,7 +188,7 @@
 	}
 	if len(round.Done) > 0 && room > 0 {
 		h.round++
-		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.granted, h.round), round))
+		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.term, h.round), round))
 		room--
 	}
 	h.prune(t, room)
@@ -235,6 +235,6 @@
 	}
 	if len(merged.Done) > 0 {
 		h.round++
-		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.granted, h.round), merged))
+		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.term, h.round), merged))
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -66,6 +66,11 @@
 	Report, Lease, GangWait, GangPeer, Cancel time.Duration
 }
 
+// Hold is how long the answer to a worker with nothing to do may be kept back. Its
+// lease counts from the sending of the report, and it gives up after four seconds;
+// the longer, the less often a start has to wait for the next report.
+func (w Workers) Hold() time.Duration { return min(3200*time.Millisecond, w.Lease/4) }
+
 // StateLimits holds the limits of the state service.
 type StateLimits struct {
 	RPS, WriteRPS float64
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -234,7 +234,7 @@
 		first := l.draw(t, n)
 		for i := range n {
 			m := live[i%len(live)]
-			out[i] = &state.Block{Number: i, Holder: m.Host, Tenure: m.Tenure, Term: first + core.Term(i), Granted: first + core.Term(i)}
+			out[i] = &state.Block{Number: i, Holder: m.Host, Tenure: m.Tenure, Term: first + core.Term(i)}
 		}
 	}
 	numbers := []int{}
@@ -350,7 +350,7 @@
 	first := l.draw(t, len(moves))
 	for i, b := range moves {
 		l.note("granting block", "block", b.Number, "from", l.Mirror.Blocks[b.Number].Record.Holder, "to", b.Holder, "term", first+core.Term(i))
-		b.Term, b.Granted = first+core.Term(i), first+core.Term(i)
+		b.Term = first + core.Term(i)
 		l.setBlock(t, b)
 	}
 }
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -17,15 +17,23 @@
 // and what the plan wants.
 func (l *Leader) machines(t *api.Txn) {
 	now := l.Loop.Now()
-	// Beside the parts, the counters of terms and arrivals and each block may be
-	// written.
-	edit := l.Mirror.Edit(l.Config.StateLim, l.Config.StateLim.TxnOps-len(l.Mirror.Blocks)-2, 0)
+	// Beside the parts, the counters of terms and arrivals may be written.
+	edit := l.Mirror.Edit(l.Config.StateLim, l.Config.StateLim.TxnOps-2, 0)
 	l.noteGone(edit)
 	l.lookAtList(edit)
 	l.noteRented(edit)
 	plan := l.plan(edit, now, l.Loop.Wall())
 	under := map[int]bool{} // blocks whose machines are written
-	raise := map[int]bool{} // of these, those that need a fresh term
+	// Each block takes its new machines under a fresh term: higher than any that
+	// they have seen, so that they take commands, and seeing it they report at once.
+	fresh := map[int]core.Term{}
+	for _, n := range plan.Assign {
+		fresh[n] = 0
+	}
+	for k, n := range core.Keys(fresh) {
+		fresh[n] = l.Mirror.Term.Record.Last + 1 + core.Term(k)
+	}
+	drawn := false
 	for _, id := range core.Keys(plan.Assign) {
 		n := plan.Assign[id]
 		m, ok := edit.Find(state.PoolShelf, id)
@@ -33,15 +41,12 @@
 		if !ok || b == nil {
 			continue
 		}
-		seen := m.Seen
+		m.Term = fresh[n]
 		m.Seen, m.Up, m.Asked, m.Lost, m.Doomed = 0, false, false, false, false
 		if !edit.Move(state.PoolShelf, n, m) {
 			break // the rest goes with the next transaction
 		}
-		under[n] = true
-		if seen >= b.Term {
-			raise[n] = true
-		}
+		under[n], drawn = true, true
 		l.note("machine goes to a block", "machine", id, "type", m.Type, "block", n)
 	}
 	for _, id := range plan.Ask {
@@ -64,18 +69,11 @@
 			}
 		}
 	}
-	if len(raise) > 0 {
-		first := l.draw(t, len(raise))
-		for k, n := range core.Keys(raise) {
-			b := l.Mirror.Blocks[n].Record.Clone()
-			b.Term = first + core.Term(k)
-			l.setBlock(t, b)
-		}
+	if drawn {
+		l.draw(t, len(fresh))
 	}
 	for _, n := range core.Keys(under) {
-		if !raise[n] {
-			l.underBlock(t, n)
-		}
+		l.underBlock(t, n)
 	}
 	edit.Apply(t)
 	l.returnMarked()
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -349,10 +349,7 @@
 	reply Reply
 }
 
-const (
-	parkTime  = 2500 * time.Millisecond
-	maxParked = 100
-)
+const maxParked = 1000
 
 // park keeps the answer to a report back until the machine's block is known.
 func (n *Node) park(rep *api.Report, reply Reply) {
@@ -360,8 +357,8 @@
 		n.redirect(core.MachineID(rep.Machine), reply)
 		return
 	}
-	n.parked = append(n.parked, parked{rep, n.loop.Now().Add(parkTime), reply})
-	n.loop.After(parkTime, n.unpark)
+	n.parked = append(n.parked, parked{rep, n.loop.Now().Add(n.cfg.Workers.Hold()), reply})
+	n.loop.After(n.cfg.Workers.Hold(), n.unpark)
 	n.unpark()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -263,7 +263,7 @@
 	for _, num := range core.Keys(n.holders) {
 		h := n.holders[num]
 		b, ok := n.mirror.Blocks[num]
-		if !ok || b.Record.Granted != h.Granted() || b.Record.Holder != n.cfg.Host {
+		if !ok || b.Record.Term != h.Term() || b.Record.Holder != n.cfg.Host {
 			h.Release()
 			delete(n.holders, num)
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -99,7 +99,7 @@
 // held it for long enough to be sure that the machine's lease had run out.
 func (n *Node) noteStray(rep *api.Report, num int) {
 	id := core.MachineID(rep.Machine)
-	granted := n.mirror.Blocks[num].Record.Granted
+	granted := n.mirror.Blocks[num].Record.Term
 	n.prober.Ask(rep, func() { n.strays[id] = stray{num, granted, n.loop.Now()} })
 }
 
@@ -108,7 +108,7 @@
 	count := map[int]int{}
 	for id, s := range n.strays {
 		b, ok := n.mirror.Blocks[s.block]
-		if now.Sub(s.at) > strayTime || !ok || b.Record.Granted != s.granted {
+		if now.Sub(s.at) > strayTime || !ok || b.Record.Term != s.granted {
 			delete(n.strays, id)
 			continue
 		}
@@ -146,8 +146,8 @@
 	if !ok {
 		return false
 	}
-	if g := n.grants[num]; g.granted != b.Record.Granted {
-		n.grants[num] = grantSeen{b.Record.Granted, n.loop.Now()}
+	if g := n.grants[num]; g.granted != b.Record.Term {
+		n.grants[num] = grantSeen{b.Record.Term, n.loop.Now()}
 		return false
 	} else if n.loop.Now().Sub(g.at) < settleTime {
 		return false
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -92,6 +92,9 @@
 	Since core.Wall `json:"since,omitempty"`
 	// Seen is the term under which its last block commanded it (pool only).
 	Seen core.Term `json:"seen,omitempty"`
+	// Term is drawn when the machine is assigned to a block; the holder commands
+	// it under this or, once the block has been granted anew, the block's.
+	Term core.Term `json:"term,omitempty"`
 	// Fate says what becomes of a machine in the pool.
 	Fate Fate `json:"fate,omitempty"`
 }
@@ -113,11 +116,9 @@
 	Number int         `json:"number"`
 	Holder core.Host   `json:"holder"`
 	Tenure core.Tenure `json:"tenure"`
-	Term   core.Term   `json:"term"`
-	// Granted is the term under which the holder received the block; Term may
-	// have been raised since for the same holder.
-	Granted core.Term `json:"granted"`
-	Teams   []string  `json:"teams"`
+	// Term is that of the grant.
+	Term  core.Term `json:"term"`
+	Teams []string  `json:"teams"`
 }
 
 // Clone copies the record, so that a changed one can be written.
