--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -59,6 +59,11 @@
 	passing  bool // a pass is due
 	passAt   core.Time
 	writing  bool
+	drawing  bool
+	spare    struct { // terms in stock, to be shown to machines
+		next, last core.Term
+		short      bool // there is none for a machine that wants one
+	}
 }
 
 const (
@@ -176,11 +181,12 @@
 				m.answer = now.Add(maxSilence(h.Config.Workers))
 			}
 			m.term = r.Term
+			m.nudged = now
 			h.machines[r.ID] = m
 			h.dirty = true
 			h.fence(m)
 		}
-		m.up, m.asked, m.lost, m.term = r.Up, r.Asked, r.Lost, r.Term
+		m.up, m.asked, m.lost, m.term = r.Up, r.Asked, r.Lost, max(m.term, r.Term)
 	}
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
@@ -437,6 +443,9 @@
 		}
 	}
 	h.checkRecovered()
+	if h.state == placing {
+		h.drawTerms()
+	}
 	h.passSoon()
 	h.flushReady()
 	h.write()
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -23,6 +23,7 @@
 	}
 	h.flush(m)
 	m.addr = rep.Addr
+	m.reported = now
 	fresh := h.take(m, rep, true, now)
 	if !m.fenced {
 		h.fence(m)
@@ -38,7 +39,7 @@
 			return
 		}
 	}
-	m.answer = max(m.answer, now)
+	m.answer, m.answered = max(m.answer, now), now
 	if !fresh {
 		done(api.ReportAnswer{Term: uint64(h.termOf(m)), Orders: []api.Order{}}, true)
 		return
@@ -93,13 +94,18 @@
 		x.done(api.ReportAnswer{}, false)
 		return
 	}
+	m.answered = h.Loop.Now()
 	x.done(api.ReportAnswer{Term: uint64(h.termOf(m)), Orders: h.orders(m)}, true)
 }
 
-// flushReady answers the reports for which there is something to say by now.
+// flushReady answers the reports for which there is something to say by now, and
+// asks for those that are far away.
 func (h *Holder) flushReady() {
 	for _, id := range core.Keys(h.machines) {
-		if m := h.machines[id]; m.held != nil && h.urgent(m) {
+		m := h.machines[id]
+		if m.held == nil {
+			h.nudge(m)
+		} else if h.urgent(m) {
 			h.flush(m)
 		}
 	}
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -101,6 +101,9 @@
 	askNext   core.Time // not to be asked again before
 	joined    core.Time
 	heard     core.Time
+	reported  core.Time // its last report
+	answered  core.Time // our last answer to one
+	nudged    core.Time // when it was last shown a higher term to make it report
 	answer    core.Time // last time at which a holder may have renewed its lease
 	notice    core.Time // when the cloud takes it; 0: no notice
 	idle      core.Time // since when nothing is booked; 0: something is
