Arrays of a team in the order of their due times where age would make some late

Cause: a team offered 1.6 times its limit; by age every array waited as long as the oldest (130 s on the log), and those with little time of their own were late behind others with time to spare.

--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"encoding/json"
 	"log/slog"
 	"testing"
 	"time"
@@ -99,3 +100,51 @@
 		t.Fatalf("asked %d times in ten seconds", loop.asked)
 	}
 }
+
+// directLoop answers each direct command with the term that it showed.
+type directLoop struct {
+	stillLoop
+	shown []uint64
+}
+
+func (l *directLoop) Call(r core.Request, done func(core.Response)) {
+	var d api.Direct
+	if json.Unmarshal(r.Body, &d) != nil || len(d.Orders) > 0 {
+		return
+	}
+	l.shown = append(l.shown, d.Term)
+	raw, _ := json.Marshal(api.Report{Machine: "n-1", Addr: "x:1", Type: "t", Season: 1, Tally: 50 + uint64(len(l.shown)), Term: d.Term})
+	done(core.Response{Status: 200, Body: raw})
+}
+
+// A start waited up to a whole report's interval for a busy machine's next report.
+// A higher term makes the worker report at once, but not while an answer under a
+// lower one may still be on its way, nor more often than workers heed it.
+func TestBusyMachineIsNudged(t *testing.T) {
+	h, m := testHolder()
+	loop := &directLoop{stillLoop: stillLoop{now: core.Time(10 * time.Second)}}
+	h.Loop, h.Workers = loop, worker.NewClient(loop)
+	h.Config.Workers.Report, h.Config.Workers.Lease = 4*time.Second, 22*time.Second
+	m.addr, m.season, m.tally, m.nudged = "x:1", 1, 1, core.Time(-time.Hour)
+	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: planned}
+	m.slots[s.slotKey] = s
+	m.reported = loop.now
+	h.nudge(m)
+	if len(loop.shown) > 0 || !h.spare.short {
+		t.Fatalf("shown %v without a term in stock", loop.shown)
+	}
+	h.spare.next, h.spare.last = 100, 200
+	m.answered = loop.now
+	h.nudge(m)
+	if len(loop.shown) > 0 {
+		t.Fatal("nudged while an answer is on its way")
+	}
+	for range 100 { // ten seconds
+		loop.now = loop.now.Add(100 * time.Millisecond)
+		m.reported = loop.now.Add(-time.Second)
+		h.nudge(m)
+	}
+	if len(loop.shown) != 1 || loop.shown[0] != 100 || h.termOf(m) != 100 {
+		t.Fatalf("shown %v, commanded under %d", loop.shown, h.termOf(m))
+	}
+}
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -125,6 +125,7 @@
 		team := teams[t.Name]
 		cpus := min(max(have[t.Name]+free, t.CPUs), t.CPUsMax-(team.Used.CPUs-have[t.Name]))
 		placement.StandBack(h.Loop.Wall(), cpus, running[t.Name], hasty[t.Name])
+		placement.Turns(h.Loop.Wall(), cpus, running[t.Name], hasty[t.Name])
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,6 +7,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"sort"
 	"time"
@@ -105,6 +106,23 @@
 	Overdue bool
 	// Guaranteed: the job fits into what its team is guaranteed.
 	Guaranteed bool
+	// Turn is the job's place in line, if it is not that of its age (0: it is).
+	Turn core.Wall
+}
+
+// turn is the job's place in line among those that are equal else.
+func (j *Job) turn() core.Wall { return cmp.Or(j.Turn, j.At) }
+
+// inLine orders jobs that are equal in rank and haste: work within a guarantee
+// before borrowed, then the oldest first.
+func inLine(a, b *Job) int {
+	switch {
+	case a.Guaranteed != b.Guaranteed && a.Guaranteed:
+		return -1
+	case a.Guaranteed != b.Guaranteed:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.turn(), b.turn()), cmp.Compare(a.ID, b.ID))
 }
 
 // JobOf describes a job from its specification; what has happened to it so far
@@ -200,12 +218,8 @@
 			return x.Overdue
 		case x.Late != y.Late:
 			return x.Late < y.Late
-		case x.Guaranteed != y.Guaranteed:
-			return x.Guaranteed
-		case x.At != y.At:
-			return x.At < y.At
 		}
-		return x.ID < y.ID
+		return inLine(x, y) < 0
 	})
 }
 
--- a/internal/placement/standback_test.go
+++ b/internal/placement/standback_test.go
@@ -67,3 +67,63 @@
 		t.Fatal(jobs[0].ID, jobs[1].ID)
 	}
 }
+
+// late counts the jobs that end after their due time when a team with so many CPUs
+// serves them in the order of Sort, one after the other.
+func late(cpus float64, jobs []*Job) (n int) {
+	Sort(jobs)
+	used := 0.0
+	for _, j := range jobs {
+		if used += j.Haste.Work; used > float64(j.Haste.Due[0])/1000*cpus {
+			n++
+		}
+	}
+	return n
+}
+
+// Where the oldest first makes arrays late, due times decide: in an overload each
+// array waited as long as the oldest, and those with little time of their own were
+// late behind others with time to spare. Where there is time for all, age decides,
+// and other teams see no change.
+func TestTurns(t *testing.T) {
+	before, after := 0, 0
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		const cpus = 10.0
+		make := func(load float64) (jobs []*Job) {
+			for i := range 12 {
+				jobs = append(jobs, &Job{
+					ID: core.JobID(rune('a' + i)), At: core.Wall(i + 1), Guaranteed: i < 4, Estimate: time.Millisecond,
+					Haste: Haste{Due: []core.Wall{core.Wall(60_000 + r.IntN(120_000))}, Work: load * float64(1+r.IntN(200))},
+				})
+			}
+			return jobs
+		}
+		calm := make(0.1)
+		Turns(0, cpus, 0, calm)
+		Sort(calm)
+		for i, j := range calm {
+			if j.At != core.Wall(i+1) || j.Turn != 0 {
+				t.Fatalf("seed %d: the order changed though all have time", seed)
+			}
+		}
+		full := make(1)
+		StandBack(0, cpus, 0, full)
+		before += late(cpus, full)
+		guaranteed, places := 0, map[core.Wall]bool{}
+		Turns(0, cpus, 0, full)
+		after += late(cpus, full)
+		for _, j := range full {
+			if j.Guaranteed {
+				guaranteed++
+			}
+			places[j.turn()] = true
+		}
+		if guaranteed != 4 || len(places) != len(full) {
+			t.Fatalf("seed %d: the team's places in line are not those it had", seed)
+		}
+	}
+	if after*4 > before*3 {
+		t.Fatalf("%d arrays late by due times, %d by age", after, before)
+	}
+}
