CPUs that gangs claim no longer count as room for arrays

Cause: the level of machines kept ready for arrays was met by the large machines that gangs fill; 100 small ones went back in the 25 s before a burst that then waited 35 s for new ones.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -191,8 +191,14 @@
 	block int // for whom it is claimed
 	used  bool
 	tasks int
+	gang  float64 // CPUs claimed by gangs
 }
 
+// cpus is what a machine has for arrays. Large machines that gangs are to take are
+// no room for what may arrive: counted as such, they made up the whole level that
+// is kept ready, and small ones went back just before the next burst.
+func (p *planner) cpus(r *room) float64 { return p.in.Types[r.m.Type].CPUs - r.gang }
+
 type planner struct {
 	in    Input
 	rooms []*room
@@ -309,7 +315,7 @@
 				p.plan.Want.Kept++
 			}
 		} else {
-			have.CPUs += p.in.Types[r.m.Type].CPUs
+			have.CPUs += p.cpus(r)
 		}
 		if r.m.Block == NoBlock && !r.used && r.m.Free >= p.in.Idle {
 			idle = append(idle, r)
@@ -469,6 +475,9 @@
 			r.free = r.free.Minus(j.Need)
 			r.used, r.block = true, j.Block
 			r.tasks++
+			if j.Gang {
+				r.gang += j.Need.CPUs
+			}
 			got++
 		}
 	}
@@ -491,7 +500,7 @@
 	have := 0.0
 	for _, r := range p.rooms {
 		if !p.keeps(j, r.m.Type, r.m.Spot) && j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
-			have += p.in.Types[r.m.Type].CPUs
+			have += p.cpus(r)
 		}
 	}
 	if p.plan.Want.Spot > scarce*have {
@@ -523,7 +532,7 @@
 	have := 0.0
 	for _, r := range p.rooms {
 		if !p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
-			have += p.in.Types[r.m.Type].CPUs
+			have += p.cpus(r)
 		}
 	}
 	placement.StandBack(p.in.Now, have, 0, possible)
