At most ten plans a second

Cause: each change of any record asked for a new plan; in a profile of our own fleet run (five controllers, 580 machines) planning was 37% of all processor time.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -62,6 +62,8 @@
 	notes     []note // of the transaction being composed
 	deafTo    map[core.Tenure]deafness
 	trend     capacity.Trend
+	planAt    core.Time // of the last plan
+	planDue   bool      // the next one is on its way
 }
 
 // New starts to lead under the record that the mirror shows.
@@ -86,6 +88,9 @@
 
 const (
 	typesEvery = 60 * time.Second
+	// planPause is the least time between two plans: every change of any record
+	// asks for one, and with hundreds of machines and jobs each takes milliseconds.
+	planPause  = 100 * time.Millisecond
 	closedFor  = 15 * time.Second
 	rebalance  = 1500 * time.Millisecond
 	maxReturns = 100 // in one request, by the protocol
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -17,6 +17,17 @@
 // and what the plan wants.
 func (l *Leader) machines(t *api.Txn) {
 	now := l.Loop.Now()
+	if wait := l.planAt.Add(planPause).Sub(now); l.planAt > 0 && wait > 0 {
+		if !l.planDue {
+			l.planDue = true
+			l.Loop.After(wait, func() {
+				l.planDue = false
+				l.act()
+			})
+		}
+		return
+	}
+	l.planAt = now
 	// Beside the parts, the counters of terms and arrivals may be written.
 	edit := l.Mirror.Edit(l.Config.StateLim, l.Config.StateLim.TxnOps-2, 0)
 	l.noteGone(edit)
