The rate of changes is shared by need; records wait behind jobs, in smaller batches

Each node had a fifth of 40 changes a second; the holder of the deck teams used all of its part, its transactions of up to 24 changes took seconds, and submissions stood behind them. Now heartbeats tell each node's usage and busy nodes take up what others leave; jobs, grants and the leader go before records; a batch is at most a second's.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -74,7 +74,7 @@
 	passPause   = 150 * time.Millisecond
 	roundPause  = 250 * time.Millisecond
 	maxRounds   = 24
-	maxParts    = 12 // of machines' records, in one transaction
+	maxBatch    = 24 // changes in one transaction
 	shunTime    = 60 * time.Second
 	avoidTime   = 60 * time.Second
 	releaseIdle = 2 * time.Second
--- a/internal/block/write.go
+++ b/internal/block/write.go
@@ -36,7 +36,7 @@
 		return
 	}
 	h.writing = true
-	h.State.Txn(t, func(r state.Result) {
+	h.State.TxnLater(t, func(r state.Result) {
 		next := func(bool) {
 			h.Loop.After(roundPause/2, func() {
 				h.writing = false
@@ -57,11 +57,14 @@
 	})
 }
 
+// batch is how many changes a transaction may have.
+func (h *Holder) batch() int { return h.State.Batch(min(h.Config.StateLim.TxnOps, maxBatch)) }
+
 // writeMachines adds what is to change in the records of the block's machines.
 func (h *Holder) writeMachines(t *api.Txn) {
 	now := h.Loop.Now()
 	own, pool := h.Mirror.Shelf(h.number), h.Mirror.Shelf(state.PoolShelf)
-	edit := h.Mirror.Edit(h.Config.StateLim, min(h.Config.StateLim.TxnOps/2, maxParts), h.number+1)
+	edit := h.Mirror.Edit(h.Config.StateLim, h.batch()/2, h.number+1)
 	for r := range own.All() {
 		m := h.machines[r.ID]
 		if m == nil {
@@ -156,7 +159,7 @@
 // writeDone adds what has been completed: one record for the tasks of a round,
 // and the final phase of jobs that are complete.
 func (h *Holder) writeDone(t *api.Txn) {
-	room := min(h.Config.StateLim.TxnOps, 24) - len(t.Then)
+	room := h.batch() - len(t.Then)
 	size := 0
 	round := state.Round{Done: map[core.JobID]core.Set{}}
 	limit := h.Config.StateLim.ValueBytes - 256
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -24,7 +24,8 @@
 // beat tells the other controllers how this one stands.
 func (n *Node) beat() {
 	n.loop.After(beatEvery, n.beat)
-	b := peer.Beat{Host: n.cfg.Host, Tenure: n.tenure, Contact: n.contact()}
+	n.shareChanges()
+	b := peer.Beat{Host: n.cfg.Host, Tenure: n.tenure, Contact: n.contact(), Changes: uint64(10 * n.state.Usage())}
 	for _, num := range core.Keys(n.holders) {
 		b.Blocks = append(b.Blocks, n.holders[num].Hint())
 		b.Running = append(b.Running, n.holders[num].RunningHints()...)
@@ -33,6 +34,19 @@
 	n.broadcast(peer.Encode(b))
 }
 
+// shareChanges takes up what the others leave of the rate of changes.
+func (n *Node) shareChanges() {
+	var others []float64
+	for _, p := range n.cfg.Peers {
+		used := -1.0
+		if h, ok := n.peers[p.Host]; ok && n.loop.Now().Sub(h.at) < beatValid {
+			used = float64(h.Changes) / 10
+		}
+		others = append(others, used)
+	}
+	n.state.Borrow(others)
+}
+
 // contact is how long ago the mirror was proven up to date.
 func (n *Node) contact() time.Duration {
 	at, ok := n.mirror.Contact()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -17,7 +17,7 @@
 // that kinds can be added; a change of a payload needs a new version.
 const (
 	magic0, magic1 = 'l', 's'
-	version        = 2
+	version        = 3
 	headerSize     = 8
 	// MaxPayload bounds a frame.
 	MaxPayload = 32 << 10
@@ -31,6 +31,9 @@
 	Tenure core.Tenure
 	// Contact is how long ago the state service proved the sender up to date.
 	Contact time.Duration
+	// Changes is how many changes a second the sender has made lately at the state
+	// service, in tenths.
+	Changes uint64
 	Blocks  []BlockHint
 	Running []RunningHint
 	Strays  []StrayHint
@@ -72,6 +75,7 @@
 	p = putText(p, string(b.Host))
 	p = binary.AppendUvarint(p, uint64(b.Tenure))
 	p = binary.AppendUvarint(p, uint64(max(b.Contact, 0)/time.Millisecond))
+	p = binary.AppendUvarint(p, b.Changes)
 	blocks := b.Blocks[:min(len(b.Blocks), maxBlocks)]
 	p = binary.AppendUvarint(p, uint64(len(blocks)))
 	for _, h := range blocks {
@@ -145,6 +149,7 @@
 	b.Host = core.Host(d.text())
 	b.Tenure = core.Tenure(d.number())
 	b.Contact = time.Duration(min(d.number(), 1<<32)) * time.Millisecond
+	b.Changes = d.number()
 	for range d.count(maxBlocks) {
 		h := BlockHint{Number: int(d.number()), Granted: core.Term(d.number()), Placing: d.byte() == 1, Waiting: int(d.number()), Live: int(d.number()), Silent: int(d.number())}
 		for range d.count(maxIdle) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,7 +12,7 @@
 
 func beat() Beat {
 	return Beat{
-		Host: "c0", Tenure: 7, Contact: 1500 * time.Millisecond,
+		Host: "c0", Tenure: 7, Contact: 1500 * time.Millisecond, Changes: 73,
 		Blocks:  []BlockHint{{Number: 2, Granted: 1 << 40, Placing: true, Waiting: 300, Live: 3, Silent: 9, Idle: []core.MachineID{"n-1", "n-22"}}, {Number: 0}},
 		Running: []RunningHint{{"req-1", 12}},
 		Strays:  []StrayHint{{1, 4}},
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -42,19 +43,31 @@
 
 // Client sends requests to the state service within this node's share of its
 // limits. What does not fit waits in bounded queues. Requests without changes,
-// renewals among them, do not wait behind changes: a few large transactions take
-// seconds where many controllers share a small rate, as long as a tenure lasts.
+// renewals among them, go first, since a few large transactions take seconds where
+// many controllers share a small rate, as long as a tenure lasts; then jobs, grants
+// and what leads; then records that can wait.
 type Client struct {
 	loop     core.Loop
 	call     core.Caller
 	addr     string
 	requests *bucket
 	writes   *bucket
-	plain    []queued // without changes
-	changes  []queued
+	fair     float64 // this node's part of the changes if all want theirs
+	used     rateMeter
+	queues   [lanes][]queued
 	waking   core.Time // when drain runs next; 0: when something comes
 }
 
+// lane is a queue of requests; lower ones go first.
+type lane int
+
+const (
+	plain   lane = iota // without changes
+	changes             // jobs, grants, the leader's
+	records             // what can wait
+	lanes
+)
+
 type queued struct {
 	writes int
 	send   func()
@@ -69,32 +82,58 @@
 func NewClient(loop core.Loop, call core.Caller, addr string, lim config.StateLimits, nodes int) *Client {
 	share := 0.9 / float64(nodes)
 	return &Client{
-		loop: loop, call: call, addr: addr,
+		loop: loop, call: call, addr: addr, fair: lim.WriteRPS * share,
 		requests: newBucket(loop, lim.RPS*share), writes: newBucket(loop, lim.WriteRPS*share),
 	}
 }
 
-// enqueue sends when the limits allow it; refuse is called when the queue is full.
-func (c *Client) enqueue(writes int, send, refuse func()) {
-	queue := &c.plain
-	if writes > 0 {
-		queue = &c.changes
+// Usage is how many changes a second this node has made lately.
+func (c *Client) Usage() float64 { return c.used.rate(c.loop.Now()) }
+
+// Borrow divides what other nodes leave unused of their parts. Their usage is what
+// they told lately; of one that has told nothing it is -1. The block with most of
+// the work otherwise waited for its own part, a fifth, while the rest lay idle.
+// Everybody keeps a quarter of the part at the least, for what comes suddenly; as
+// long as nobody is heard of, each has its own part.
+func (c *Client) Borrow(others []float64) {
+	idle, wanting := 0.0, 1.0
+	for _, used := range others {
+		switch {
+		case used < 0:
+		case used < c.fair*3/4:
+			idle += c.fair - max(used, c.fair/4)
+		default:
+			wanting++
+		}
 	}
-	if len(*queue) >= maxQueue {
+	c.writes.setRate(c.fair + 0.8*idle/wanting)
+	c.drain()
+}
+
+// Batch is how many changes a transaction should have that can wait: no more than
+// this node may make in a second, so that others do not wait long behind it.
+func (c *Client) Batch(most int) int { return max(min(most, int(c.writes.rate)), min(most, 6)) }
+
+// enqueue sends when the limits allow it; refuse is called when the queue is full.
+func (c *Client) enqueue(l lane, writes int, send, refuse func()) {
+	if len(c.queues[l]) >= maxQueue {
 		refuse()
 		return
 	}
-	*queue = append(*queue, queued{writes, send})
+	c.queues[l] = append(c.queues[l], queued{writes, send})
 	c.drain()
 }
 
 func (c *Client) drain() {
-	for len(c.plain)+len(c.changes) > 0 {
-		queue := &c.plain
-		if len(c.plain) == 0 {
-			queue = &c.changes
+	for {
+		l := plain
+		for l < lanes && len(c.queues[l]) == 0 {
+			l++
+		}
+		if l == lanes {
+			return
 		}
-		q := (*queue)[0]
+		q := c.queues[l][0]
 		wait := max(c.requests.wait(1), c.writes.wait(float64(q.writes)))
 		if wait > 0 {
 			if at := c.loop.Now().Add(wait); c.waking == 0 || at < c.waking {
@@ -110,13 +149,19 @@
 		}
 		c.requests.take(1)
 		c.writes.take(float64(q.writes))
-		*queue = (*queue)[1:]
+		c.used.add(c.loop.Now(), float64(q.writes))
+		c.queues[l] = c.queues[l][1:]
 		q.send()
 	}
 }
 
 // Txn carries out t.
-func (c *Client) Txn(t api.Txn, done func(Result)) {
+func (c *Client) Txn(t api.Txn, done func(Result)) { c.txn(changes, t, done) }
+
+// TxnLater carries out t once nothing else has to be changed.
+func (c *Client) TxnLater(t api.Txn, done func(Result)) { c.txn(records, t, done) }
+
+func (c *Client) txn(l lane, t api.Txn, done func(Result)) {
 	if t.If == nil {
 		t.If = []api.Condition{}
 	}
@@ -125,7 +170,7 @@
 		done(Result{Outcome: Refused})
 		return
 	}
-	c.enqueue(len(t.Then), func() {
+	c.enqueue(l, len(t.Then), func() {
 		c.call.Call(core.Request{Addr: c.addr, Method: "POST", Path: "/txn", Body: body, Timeout: txnTimeout}, func(r core.Response) {
 			done(txnResult(r))
 		})
@@ -160,7 +205,7 @@
 // Grant asks for a tenure; 0 means that none was given.
 func (c *Client) Grant(ttl time.Duration, done func(core.Tenure)) {
 	body, _ := json.Marshal(api.TenureRequest{TTLMS: int(ttl.Milliseconds())})
-	c.enqueue(0, func() {
+	c.enqueue(plain, 0, func() {
 		c.call.Call(core.Request{Addr: c.addr, Method: "POST", Path: "/grants", Body: body, Timeout: txnTimeout}, func(r core.Response) {
 			var a api.TenureAnswer
 			if r.Status != 200 || json.Unmarshal(r.Body, &a) != nil {
@@ -173,14 +218,14 @@
 
 // Renew prolongs a tenure; done gets the status of the answer, 0 for none.
 func (c *Client) Renew(t core.Tenure, done func(status int)) {
-	c.enqueue(0, func() {
+	c.enqueue(plain, 0, func() {
 		c.call.Call(core.Request{Addr: c.addr, Method: "POST", Path: fmt.Sprintf("/grants/%d/renew", t), Timeout: txnTimeout}, func(r core.Response) { done(r.Status) })
 	}, func() { done(0) })
 }
 
 // End ends a tenure at once; keys attached to it are removed.
 func (c *Client) End(t core.Tenure, done func(ok bool)) {
-	c.enqueue(0, func() {
+	c.enqueue(plain, 0, func() {
 		c.call.Call(core.Request{Addr: c.addr, Method: "DELETE", Path: fmt.Sprintf("/grants/%d", t), Timeout: txnTimeout}, func(r core.Response) {
 			done(r.Status >= 200 && r.Status < 300 || r.Status == 404)
 		})
@@ -193,7 +238,7 @@
 	if from != "" {
 		path += "&from=" + from
 	}
-	c.enqueue(0, func() {
+	c.enqueue(plain, 0, func() {
 		c.call.Call(core.Request{Addr: c.addr, Method: "GET", Path: path, Timeout: 3 * time.Second}, func(r core.Response) {
 			var p api.ItemPage
 			ok := r.Status == 200 && json.Unmarshal(r.Body, &p) == nil
@@ -206,7 +251,7 @@
 // longer keeps them.
 func (c *Client) Watch(prefix string, from core.Revision, block time.Duration, done func(a api.WatchAnswer, ok, gone bool)) {
 	path := "/watch?prefix=" + prefix + "&from=" + strconv.FormatUint(uint64(from), 10) + "&blockMs=" + strconv.Itoa(int(block.Milliseconds()))
-	c.enqueue(0, func() {
+	c.enqueue(plain, 0, func() {
 		c.call.Call(core.Request{Addr: c.addr, Method: "GET", Path: path, Timeout: block + 3*time.Second}, func(r core.Response) {
 			var a api.WatchAnswer
 			ok := r.Status == 200 && json.Unmarshal(r.Body, &a) == nil
@@ -248,3 +293,29 @@
 }
 
 func (b *bucket) take(n float64) { b.level -= n }
+
+// setRate changes the rate from now on.
+func (b *bucket) setRate(rate float64) {
+	b.fill()
+	b.rate = rate
+	b.level = min(b.level, max(rate, 1))
+}
+
+// rateMeter measures how often something happens, over the last seconds.
+type rateMeter struct {
+	sum float64
+	at  core.Time
+}
+
+const meterTime = 3 * time.Second
+
+func (m *rateMeter) rate(now core.Time) float64 {
+	m.sum *= math.Exp(-now.Sub(m.at).Seconds() / meterTime.Seconds())
+	m.at = now
+	return m.sum / meterTime.Seconds()
+}
+
+func (m *rateMeter) add(now core.Time, n float64) {
+	m.rate(now)
+	m.sum += n
+}
--- a/internal/state/client_test.go
+++ b/internal/state/client_test.go
@@ -83,3 +83,45 @@
 		t.Fatalf("%d of 4 transactions were sent", n)
 	}
 }
+
+// The node with most of the work takes up what the others leave, and all together
+// stay within the limit; those of which nothing is heard keep their parts.
+func TestChangesAreShared(t *testing.T) {
+	const nodes, limit = 5, 100.0
+	l := &stepLoop{at: map[string]core.Time{}}
+	rate := func(own int, used []float64) float64 {
+		c := NewClient(l, l, "", config.StateLimits{RPS: 400, WriteRPS: limit, ValueBytes: 8 << 10, TxnOps: 32}, nodes)
+		var others []float64
+		for i, u := range used {
+			if i != own {
+				others = append(others, u)
+			}
+		}
+		c.Borrow(others)
+		return c.writes.rate
+	}
+	fair := limit * 0.9 / nodes
+	if r := rate(0, []float64{18, -1, -1, -1, -1}); r != fair {
+		t.Fatalf("alone: %v", r)
+	}
+	if r := rate(0, []float64{18, 0, 1, 0, 2}); r < 3*fair {
+		t.Fatalf("a busy node beside idle ones may make only %v changes", r)
+	}
+	for set := range 1 << nodes {
+		used := make([]float64, nodes)
+		for i := range used {
+			used[i] = []float64{3, fair}[set>>i&1]
+		}
+		sum := 0.0
+		for i, u := range used {
+			if u == fair {
+				sum += rate(i, used)
+			} else {
+				sum += u
+			}
+		}
+		if sum > limit {
+			t.Fatalf("used %v: together %v of %v", used, sum, limit)
+		}
+	}
+}
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -461,7 +461,7 @@
 // index sends the compare-only transaction; sending runs just before.
 func (c *Client) index(sending func(), done func(Result)) {
 	body, _ := json.Marshal(api.Txn{If: []api.Condition{{Key: keyNever}}})
-	c.enqueue(0, func() {
+	c.enqueue(plain, 0, func() {
 		sending()
 		c.call.Call(core.Request{Addr: c.addr, Method: "POST", Path: "/txn", Body: body, Timeout: txnTimeout}, func(r core.Response) {
 			done(txnResult(r))
