--- a/cmd/lichenstair/main.go
+++ b/cmd/lichenstair/main.go
@@ -100,6 +100,9 @@
 		return fmt.Errorf("peer_listen: %w", err)
 	}
 	conns, calls := cfg.Limits.Shares(len(cfg.Peers))
+	if least := config.LeastSockets(len(cfg.Peers)); cfg.Limits.Sockets < least {
+		log.Warn("fd_limit is too small: connections will fail, and workers go to other controllers", "fd_limit", cfg.Limits.Sockets, "least", least)
+	}
 	loop := core.NewLoop(conns)
 	call := httpcall.New(loop, calls, cfg.State, cfg.Cloud)
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,8 @@
 	PerService  = 16
 	ownSockets  = 2*PerService + 24
 	peerSockets = 3
+	minServer   = 16
+	minCalls    = 8
 )
 
 // Shares divides the sockets: how many connections workers and users may open to
@@ -105,8 +107,13 @@
 // worker, so all that is not needed elsewhere goes there.
 func (l Limits) Shares(peers int) (server, calls int) {
 	left := l.Sockets - ownSockets - peerSockets*peers
-	calls = max(left/8, 8)
-	return max(left-calls, 16), calls
+	calls = max(left/8, minCalls)
+	return max(left-calls, minServer), calls
+}
+
+// LeastSockets is the limit below which the shares cannot be kept within it.
+func LeastSockets(peers int) int {
+	return ownSockets + peerSockets*peers + minServer + minCalls
 }
 
 // Operator holds the operators' own settings with defaults filled in.
