A machine's slots are sorted when they change, not with each pass and report

Cause: a profile of a block of 420 machines with 7,000 tasks (half as many machines again): a pass took 10 ms, most of it sorting; each report sorted its machine's twice.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -278,7 +278,7 @@
 func (h *Holder) setOff(s *slot, why string) {
 	was := s.state
 	h.moveSlot(s, off)
-	delete(s.machine.slots, s.slotKey)
+	s.machine.drop(s)
 	if was != planned && was != exited && why != "" {
 		h.Log.Info("task is off its machine", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "was", was.String(), "why", why)
 	}
@@ -311,7 +311,7 @@
 	j.broken = true
 	for _, i := range core.Keys(j.slots) {
 		if s := j.slots[i]; s != nil && s.state == planned {
-			delete(s.machine.slots, s.slotKey)
+			s.machine.drop(s)
 			h.moveSlot(s, off)
 			delete(j.slots, s.task.Index)
 			j.again = append(j.again, s.task.Index)
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -63,7 +63,7 @@
 	h, m := testHolder()
 	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 1, Term: 7}, true, 0)
 	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: starting, sentSeason: 1, sentTally: 1}
-	m.slots[s.slotKey] = s
+	m.add(s)
 	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 2, Term: 7}, true, 1)
 	if !m.empty() || !m.deaf || h.ready(m) {
 		t.Fatalf("after a start that did not arrive: %d slots, deaf %v", len(m.slots), m.deaf)
@@ -129,7 +129,7 @@
 	h.Config.Workers.Report, h.Config.Workers.Lease = 4*time.Second, 22*time.Second
 	m.addr, m.season, m.tally, m.nudged = "x:1", 1, 1, core.Time(-time.Hour)
 	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: planned}
-	m.slots[s.slotKey] = s
+	m.add(s)
 	m.reported = loop.now
 	h.nudge(m)
 	if len(loop.shown) > 0 || !h.spare.short {
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -244,6 +244,6 @@
 	s := &slot{slotKey: slotKey{core.TaskID{Job: j.id, Index: i}, attempt}, machine: m, team: j.spec.Team, need: j.need}
 	s.ends = h.Loop.Now().Add(h.expected(s, m))
 	j.slots[i] = s
-	m.slots[s.slotKey] = s
+	m.add(s)
 	m.idle = 0
 }
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -305,13 +305,13 @@
 		if j != nil {
 			s.ends = now.Add(h.expected(s, m))
 		}
-		m.slots[k] = s
+		m.add(s)
 		if j != nil && v.State != api.TaskExited && !j.done.Has(k.task.Index) {
 			if other := j.slots[k.task.Index]; other == nil {
 				j.slots[k.task.Index] = s
 			} else if other.state == planned {
 				// It already runs here; the plan is dropped.
-				delete(other.machine.slots, other.slotKey)
+				other.machine.drop(other)
 				h.moveSlot(other, off)
 				j.slots[k.task.Index] = s
 			}
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -112,7 +112,8 @@
 	images    map[string]bool
 	recent    []string
 	slots     map[slotKey]*slot
-	held      *held // a report that waits for its answer
+	sorted    []*slot // what list returns, as long as no slot comes or goes
+	held      *held   // a report that waits for its answer
 }
 
 // held is a report whose answer is kept back for a moment: a worker with
@@ -129,16 +130,31 @@
 	return n
 }
 
-// list returns the machine's slots in the order of their tasks.
+// add and drop are the places where slots come and go.
+func (m *machine) add(s *slot) {
+	m.slots[s.slotKey] = s
+	m.sorted = nil
+}
+
+func (m *machine) drop(s *slot) {
+	delete(m.slots, s.slotKey)
+	m.sorted = nil
+}
+
+// list returns the machine's slots in the order of their tasks. Each pass asks every
+// machine, and each report its own twice, so the order is kept until it changes; a
+// list that was handed out stays as it was.
 func (m *machine) list() []*slot {
-	out := make([]*slot, 0, len(m.slots))
-	for _, s := range m.slots {
-		out = append(out, s)
+	if m.sorted == nil {
+		m.sorted = make([]*slot, 0, len(m.slots))
+		for _, s := range m.slots {
+			m.sorted = append(m.sorted, s)
+		}
+		slices.SortFunc(m.sorted, func(a, b *slot) int {
+			return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index), cmp.Compare(a.attempt, b.attempt))
+		})
 	}
-	slices.SortFunc(out, func(a, b *slot) int {
-		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index), cmp.Compare(a.attempt, b.attempt))
-	})
-	return out
+	return m.sorted
 }
 
 // planned tells whether all that is booked on the machine is still only planned.
