--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -172,3 +172,35 @@
 		})
 	}
 }
+
+// Far fewer sockets than machines and users want: requests are refused, questions to
+// machines wait for a free call, and still no rule is broken and work goes on, also
+// when all controllers restart and when one is left alone with every worker.
+func TestFewSockets(t *testing.T) {
+	refused := 0
+	for seed := range seeds(2) {
+		w := fleet(3, 60, 60+seed)
+		w.Cfg.Limits.Sockets = 84
+		w.fleetLoad(90*time.Second, 0.2, 0.05)
+		w.At(40*time.Second, func() { Faults["crash all"](w) })
+		w.At(60*time.Second, func() {
+			w.Hosts[0].Restart(20 * time.Second)
+			w.Hosts[1].Restart(25 * time.Second)
+		})
+		w.At(75*time.Second, func() { Faults["zone cut off"](w) })
+		w.At(130*time.Second, func() { w.Check.Calm(w.Now()) })
+		w.Run(240 * time.Second)
+		if len(w.Check.Broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+		}
+		if w.Users.Done < w.Users.Accepted/2 || w.Users.Accepted < 10 {
+			t.Fatalf("seed %d: %d of %d jobs done", seed, w.Users.Done, w.Users.Accepted)
+		}
+		for _, h := range w.Hosts {
+			refused += h.Refused
+		}
+	}
+	if refused < 10 {
+		t.Fatalf("only %d requests met the limit", refused)
+	}
+}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -159,6 +159,33 @@
 	}
 }
 
+// A holder that loses the state service alone, and with it its tenure, still hears
+// its workers and has an old picture of the block. Their reports show the new
+// holder's term, so it must send them away instead of answering under its own: it
+// kept them with it until their leases ran out (docs/incidents/inc-eb5b.md).
+func TestHolderWithoutStateServiceLetsItsWorkersGo(t *testing.T) {
+	lost, ran := 0, 0
+	for seed := range uint64(4) {
+		w := NewWorld(Settings(3), 700+seed, nil)
+		w.Populate()
+		w.Load(150*time.Second, 2*time.Second)
+		w.At(80*time.Second, func() {
+			for _, m := range w.Cloud.Up() {
+				ran += len(m.tasks)
+			}
+			w.CutBoth(party(w.Hosts[seed%3].name), "state", 50*time.Second, false)
+		})
+		w.Run(140 * time.Second)
+		if len(w.Check.Broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+		}
+		lost += w.LeaseKills
+	}
+	if ran < 40 || lost > 5 {
+		t.Fatalf("of %d tasks %d were lost with their workers' leases", ran, lost)
+	}
+}
+
 // A machine that the cloud has announced to take back must be marked in its
 // block's record at once: the plan counted on such machines until they had been
 // silent for three leases (docs/incidents/inc-ac6e.md).
