A plan and a pass look at less: rooms without room, zones that matter to no job

A profile of our own fleet run: planning 27%, most of it asking for each job and machine whether its kind is kept, and looking at full machines; a pass counted zones of all tasks though only gangs in one zone and scattered jobs need them; each change of a record looked at the holders' hearing. Choices are the same.

--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -206,18 +206,23 @@
 	return out
 }
 
-// zones counts the tasks booked on machines, by job and zone.
+// zones counts the tasks booked on machines, by job and zone, for the jobs to which
+// zones matter.
 func (h *Holder) zones() map[core.JobID]map[string]int {
 	out := map[core.JobID]map[string]int{}
+	for id, j := range h.jobs {
+		if j.spec.OneZone || j.spec.Scatter {
+			out[id] = map[string]int{}
+		}
+	}
+	if len(out) == 0 {
+		return out
+	}
 	for _, m := range h.machines {
 		for _, s := range m.slots {
-			if !s.booked() {
-				continue
-			}
-			if out[s.task.Job] == nil {
-				out[s.task.Job] = map[string]int{}
+			if zones := out[s.task.Job]; zones != nil && s.booked() {
+				zones[m.zone]++
 			}
-			out[s.task.Job][m.zone]++
 		}
 	}
 	return out
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -192,6 +192,7 @@
 	used  bool
 	tasks int
 	gang  float64 // CPUs claimed by gangs
+	kept  bool    // of a kind that is kept for gangs
 }
 
 // cpus is what a machine has for arrays. Large machines that gangs are to take are
@@ -218,7 +219,7 @@
 		if !ok {
 			continue
 		}
-		p.rooms = append(p.rooms, &room{m: m, free: placement.Room(t), block: m.Block})
+		p.rooms = append(p.rooms, &room{m: m, free: placement.Room(t), block: m.Block, kept: in.Kept[Kind{m.Type, m.Spot}]})
 	}
 	sort.SliceStable(p.rooms, func(a, b int) bool {
 		x, y := p.rooms[a], p.rooms[b]
@@ -309,7 +310,7 @@
 		return t.Price / t.CPUs
 	}
 	for _, r := range p.rooms {
-		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
+		if r.kept {
 			have.Kept++
 			if r.used {
 				p.plan.Want.Kept++
@@ -467,7 +468,7 @@
 		if got >= n {
 			break
 		}
-		if !suits(r) || !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) || p.keeps(j, r.m.Type, r.m.Spot) {
+		if !j.Need.Fits(r.free) || r.kept && !j.Gang && !j.NoChoice || !suits(r) || !j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
 			continue
 		}
 		for got < n && r.tasks < placement.MaxTasks && j.Need.Fits(r.free) && j.ZoneAllows(r.m.Zone, j.Zones) {
@@ -499,7 +500,7 @@
 	}
 	have := 0.0
 	for _, r := range p.rooms {
-		if !p.keeps(j, r.m.Type, r.m.Spot) && j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
+		if (!r.kept || j.NoChoice) && j.Allows(r.m.Type, r.m.Zone, r.m.Spot) {
 			have += p.cpus(r)
 		}
 	}
@@ -531,7 +532,7 @@
 	}
 	have := 0.0
 	for _, r := range p.rooms {
-		if !p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
+		if !r.kept {
 			have += p.cpus(r)
 		}
 	}
@@ -598,7 +599,7 @@
 	for i := range count {
 		r := &room{
 			m:    &Machine{ID: core.MachineID("rented" + string(rune('0'+i))), Type: best.o.Type, Zone: best.o.Zone, Spot: best.o.Spot, Block: j.Block},
-			free: placement.Room(t), block: j.Block,
+			free: placement.Room(t), block: j.Block, kept: p.in.Kept[Kind{best.o.Type, best.o.Spot}],
 		}
 		p.rooms = append(p.rooms, r)
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -64,6 +64,7 @@
 	trend     capacity.Trend
 	planAt    core.Time // of the last plan
 	planDue   bool      // the next one is on its way
+	deafAt    core.Time // when holders were last looked at
 }
 
 // New starts to lead under the record that the mirror shows.
@@ -90,7 +91,9 @@
 	typesEvery = 60 * time.Second
 	// planPause is the least time between two plans: every change of any record
 	// asks for one, and with hundreds of machines and jobs each takes milliseconds.
-	planPause  = 100 * time.Millisecond
+	planPause = 100 * time.Millisecond
+	// deafPause is the same for looking whether holders hear their machines.
+	deafPause  = 200 * time.Millisecond
 	closedFor  = 15 * time.Second
 	rebalance  = 1500 * time.Millisecond
 	maxReturns = 100 // in one request, by the protocol
@@ -334,7 +337,8 @@
 		count[to.Host]++
 		moves = append(moves, c)
 	}
-	if len(moves) == 0 {
+	if len(moves) == 0 && now.Sub(l.deafAt) >= deafPause {
+		l.deafAt = now
 		moves = l.leaveDeaf(numbers, live, now)
 	}
 	if len(moves) == 0 {
