--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -14,21 +14,7 @@
 func BenchmarkPass(b *testing.B) {
 	build := func() ([]*Machine, []*Job, map[string]*Team) {
 		r := rand.New(rand.NewPCG(1, 1))
-		var machines []*Machine
-		for i := range 88 {
-			m := machineOf(fmt.Sprintf("n-%03d", i), []float64{4, 32, 64}[i%8/6], 128)
-			m.MaxTasks = MaxTasks
-			for range int(m.Total.CPUs) / 2 {
-				m.Booked = m.Booked.Plus(Need{CPUs: 1, MemoryGB: 2})
-				m.Releases = append(m.Releases, Release{core.Time(r.Int64N(int64(time.Minute))), Need{CPUs: 1, MemoryGB: 2}})
-			}
-			machines = append(machines, m)
-		}
-		var jobs []*Job
-		for i := range 10 {
-			n := 50 + r.IntN(850)
-			jobs = append(jobs, &Job{ID: core.JobID(fmt.Sprint("req-", i)), Team: "red", At: core.Wall(i), Need: Need{CPUs: 1, MemoryGB: 2}, Tasks: n, Waiting: n, Estimate: 30 * time.Second, Image: fmt.Sprint(i)})
-		}
+		machines, jobs := benchMachines(r, 88, 0.5), benchArrays(r, 10, 850)
 		return machines, jobs, map[string]*Team{"red": {Max: Need{CPUs: 5000}}}
 	}
 	for b.Loop() {
@@ -50,21 +36,7 @@
 			for b.Loop() {
 				b.StopTimer()
 				r := rand.New(rand.NewPCG(1, 1))
-				var machines []*Machine
-				for i := range 470 {
-					m := machineOf(fmt.Sprintf("n-%03d", i), []float64{4, 32, 64}[i%8/6], 128)
-					m.MaxTasks = MaxTasks
-					for range int(m.Total.CPUs * c.used) {
-						m.Booked = m.Booked.Plus(Need{CPUs: 1, MemoryGB: 2})
-						m.Releases = append(m.Releases, Release{core.Time(r.Int64N(int64(time.Minute))), Need{CPUs: 1, MemoryGB: 2}})
-					}
-					machines = append(machines, m)
-				}
-				var jobs []*Job
-				for i := range 40 {
-					n := 50 + r.IntN(650)
-					jobs = append(jobs, &Job{ID: core.JobID(fmt.Sprint("req-", i)), Team: "red", At: core.Wall(i), Need: Need{CPUs: 1, MemoryGB: 2}, Tasks: n, Waiting: n, Estimate: 30 * time.Second, Image: fmt.Sprint(i)})
-				}
+				machines, jobs := benchMachines(r, 470, c.used), benchArrays(r, 40, 650)
 				jobs = append(jobs, &Job{ID: "gang", Team: "red", Rank: 2, At: 1, Need: Need{CPUs: 60, MemoryGB: 100}, Gang: true, OneZone: true, Tasks: 3, Waiting: 3, Estimate: time.Minute})
 				teams := map[string]*Team{"red": {Max: Need{CPUs: 50000}}}
 				b.StartTimer()
@@ -73,3 +45,27 @@
 		})
 	}
 }
+
+// benchMachines makes machines of three kinds of which a share is used.
+func benchMachines(r *rand.Rand, n int, used float64) (machines []*Machine) {
+	one := Need{CPUs: 1, MemoryGB: 2}
+	for i := range n {
+		m := machineOf(fmt.Sprintf("n-%03d", i), []float64{4, 32, 64}[i%8/6], 128)
+		m.MaxTasks = MaxTasks
+		for range int(m.Total.CPUs * used) {
+			m.Booked = m.Booked.Plus(one)
+			m.Releases = append(m.Releases, Release{core.Time(r.Int64N(int64(time.Minute))), one})
+		}
+		machines = append(machines, m)
+	}
+	return machines
+}
+
+// benchArrays makes arrays with 50 waiting tasks and up to so many more.
+func benchArrays(r *rand.Rand, n, more int) (jobs []*Job) {
+	for i := range n {
+		tasks := 50 + r.IntN(more)
+		jobs = append(jobs, &Job{ID: core.JobID(fmt.Sprint("req-", i)), Team: "red", At: core.Wall(i), Need: Need{CPUs: 1, MemoryGB: 2}, Tasks: tasks, Waiting: tasks, Estimate: 30 * time.Second, Image: fmt.Sprint(i)})
+	}
+	return jobs
+}
