--- a/api/parse.go
+++ b/api/parse.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 )
 
 // MaxTasks is the largest number of tasks that a job may have.
@@ -17,6 +18,8 @@
 
 const maxName = 200
 
+const fieldDependencies = "roots"
+
 var jobID = regexp.MustCompile(`^req-[0-9]{1,40}$`)
 
 // ValidJobID tells whether s has the form of a job id.
@@ -64,11 +67,16 @@
 		d := p.amount("ripeS")
 		j.DeadlineS = &d
 	}
+	if p.present(fieldDependencies) {
+		j.Dependencies = p.ids(fieldDependencies)
+	}
 	switch {
 	case p.err != nil:
 		return Job{}, p.err
 	case !ValidJobID(j.ID):
 		return Job{}, &FieldError{"uid", "not in the form of a job id"}
+	case slices.Contains(j.Dependencies, j.ID):
+		return Job{}, &FieldError{fieldDependencies, "names the job itself"}
 	case j.Form != FormArray && j.Form != FormGang && j.Form != FormService:
 		return Job{}, &FieldError{"form", "unknown"}
 	case j.Rank != RankProduction && j.Rank != RankHigh && j.Rank != RankStandard && j.Rank != RankBestEffort:
@@ -116,6 +124,26 @@
 	return s
 }
 
+// ids reads a list of job ids; repeats count once.
+func (p *parser) ids(field string) (out []string) {
+	var list []*string
+	if !p.take(field, &list, "not a list of job ids") {
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, id := range list {
+		switch {
+		case id == nil || !ValidJobID(*id):
+			p.fail(field, "not a list of job ids")
+			return nil
+		case !seen[*id]:
+			seen[*id] = true
+			out = append(out, *id)
+		}
+	}
+	return out
+}
+
 func (p *parser) amount(field string) (f float64) {
 	if p.take(field, &f, "not a number") && (f < 0 || math.IsInf(f, 0) || f > 1e9) {
 		p.fail(field, "negative or too large")
--- a/api/parse_test.go
+++ b/api/parse_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"errors"
 	"strings"
 	"testing"
 )
@@ -28,3 +29,20 @@
 		}
 	}
 }
+
+func TestParseDependencies(t *testing.T) {
+	with := func(roots string) (Job, error) {
+		return ParseJob([]byte(strings.Replace(goodJob, `"unheard"`, `"roots":`+roots+`,"unheard"`, 1)))
+	}
+	for roots, want := range map[string]int{`null`: 0, `[]`: 0, `["req-000398"]`: 1, `["req-000398","req-000405","req-000398"]`: 2} {
+		if j, err := with(roots); err != nil || len(j.Dependencies) != want {
+			t.Errorf("%s: %v, %v", roots, j.Dependencies, err)
+		}
+	}
+	for _, roots := range []string{`"req-000398"`, `[1]`, `[null]`, `{}`, `["job-1"]`, `["req-000412"]`, `[["req-000398"]]`, `7`, `[""]`} {
+		var fe *FieldError
+		if _, err := with(roots); !errors.As(err, &fe) || fe.Field != "roots" {
+			t.Errorf("%s: %v", roots, err)
+		}
+	}
+}
--- a/api/users.go
+++ b/api/users.go
@@ -25,6 +25,8 @@
 	CheckpointS float64  `json:"moltS"`
 	SaveS       float64  `json:"shedS"`
 	DeadlineS   *float64 `json:"ripeS"`
+	// Dependencies names the jobs that have to be done before any task of this one starts.
+	Dependencies []string `json:"roots,omitempty"`
 }
 
 // Forms of a job.
--- a/cmd/lichenstair/main.go
+++ b/cmd/lichenstair/main.go
@@ -22,7 +22,7 @@
 	"lichenstair/internal/peer"
 )
 
-const version = "0.1.0"
+const version = "0.2.0"
 
 func main() {
 	if err := command().Execute(); err != nil {
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -249,7 +249,7 @@
 			return
 		}
 		j = &job{
-			id: id, at: e.At, spec: e.Spec, rank: placement.Rank(e.Spec.Rank), need: placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB},
+			id: id, at: e.At, sent: e.At, blocked: true, spec: e.Spec, rank: placement.Rank(e.Spec.Rank), need: placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB},
 			slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{},
 		}
 		h.jobs[id] = j
@@ -262,6 +262,15 @@
 			}
 		}
 	}
+	// done is final, so the mirror can only be late in showing that the job may run.
+	if at, ok := h.Mirror.Begins(e); ok && j.blocked {
+		j.at, j.blocked = at, false
+		h.dirty = true
+		if len(j.spec.Dependencies) > 0 {
+			h.Log.Info("all jobs before it are done", "job", id, "waited_ms", at-j.sent)
+		}
+	}
+	j.rank, j.due = max(j.rank, e.Urgency.Rank), e.Urgency.Due
 	j.done.Union(e.Done)
 	if !j.pending.Empty() {
 		var still core.Set
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -175,6 +175,9 @@
 	wall := h.Loop.Wall()
 	var out []*placement.Job
 	for _, j := range all {
+		if j.blocked {
+			continue
+		}
 		guaranteed := guarantees.Within(j.spec.Team, j.need.CPUs*float64(j.spec.Tasks-j.done.Len()))
 		waiting := j.waiting()
 		if waiting <= 0 || j.broken || j.cancelled || j.holdoff > now {
@@ -188,11 +191,12 @@
 		}
 		described := placement.JobOf(j.id, j.at, j.spec)
 		p := &described
+		p.Rank = j.rank
 		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, zones[j.id], map[core.MachineID]bool{}, guaranteed
-		if capacity.Late(h.Config.Aims, j.spec, j.at, wall) {
+		if capacity.Late(h.Config.Aims, j.spec, j.sent, j.at, wall) {
 			p.Late = len(h.Config.Aims)
 		}
-		p.Timed = guaranteed || capacity.Timed(h.Config.Aims, j.spec)
+		p.Timed = guaranteed || j.due > 0 || capacity.Timed(h.Config.Aims, j.spec)
 		if j.live() > 0 {
 			j.alone = 0
 		} else if j.alone == 0 {
@@ -219,7 +223,7 @@
 				p.Waiting = 1
 			}
 		}
-		p.Haste = placement.Haste{Due: capacity.Due(h.Config.Aims, j.spec, j.at), Work: j.work()}
+		p.Haste = placement.Haste{Due: capacity.Due(h.Config.Aims, j.spec, j.sent, j.at, j.due), Work: j.work()}
 		for id, until := range j.avoid {
 			if until > now {
 				p.Avoid[id] = true
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -194,7 +194,10 @@
 // job is an unfinished job of a team of the block.
 type job struct {
 	id      core.JobID
-	at      core.Wall
+	at      core.Wall // since when it may run
+	sent    core.Wall // when it was submitted
+	blocked bool      // a job that it depends on is not done yet
+	due     core.Wall // by when jobs that need it want it done; 0: any time
 	spec    *api.Job
 	rank    int
 	seen    bool // a task of it has been seen on a machine
@@ -224,8 +227,15 @@
 // it has failed on more than one machine and completed nothing.
 func (j *job) probing() bool { return len(j.failed) > 1 && j.done.Empty() }
 
-// waiting counts the tasks that neither are done nor have a slot.
-func (j *job) waiting() int { return j.spec.Tasks - j.done.Len() - j.live() }
+// waiting counts the tasks that neither are done nor have a slot. It is where a job that
+// depends on others is kept from starting, and from all that comes with waiting: a place
+// in line, a reservation, machines.
+func (j *job) waiting() int {
+	if j.blocked {
+		return 0
+	}
+	return j.spec.Tasks - j.done.Len() - j.live()
+}
 
 func (j *job) live() int {
 	n := 0
--- a/internal/block/write.go
+++ b/internal/block/write.go
@@ -65,7 +65,7 @@
 func (h *Holder) writeMachines(t *api.Txn) {
 	now := h.Loop.Now()
 	own, pool := h.Mirror.Shelf(h.number), h.Mirror.Shelf(state.PoolShelf)
-	edit := h.Mirror.Edit(h.Config.StateLim, h.batch()/2, h.number+1)
+	edit := h.Mirror.Edit(h.Config.StateLim, max(h.batch()/2, 2), h.number+1)
 	for r := range own.All() {
 		m := h.machines[r.ID]
 		if m == nil {
@@ -172,7 +172,7 @@
 		if j.done.Len() >= j.spec.Tasks {
 			if room > 2 {
 				t.If = append(t.If, api.Condition{Key: state.KeyJob(id), Version: uint64(e.Version)})
-				t.Then = append(t.Then, state.Put(state.KeyJob(id), e.Job.End(state.JobDone)))
+				t.Then = append(t.Then, state.Put(state.KeyJob(id), e.Job.End(state.JobDone, h.Loop.Wall())))
 				room--
 			}
 			continue
--- a/internal/capacity/late.go
+++ b/internal/capacity/late.go
@@ -43,28 +43,36 @@
 
 // Due lists by when an array should be complete, for each of the users' aims on its
 // completion, the one that leaves least time first: those on its deadline, if it has
-// one, else those on the time that jobs of its class may take.
-func Due(aims []config.Aim, spec *api.Job, at core.Wall) (due []core.Wall) {
+// one, else those on the time that jobs of its class may take. A deadline counts from
+// sent, when the job was submitted, all else from at, since when it may run. needed is by
+// when jobs that depend on it want it done (0: any time).
+func Due(aims []config.Aim, spec *api.Job, sent, at, needed core.Wall) (due []core.Wall) {
 	if spec.Form == api.FormGang {
 		return nil
 	}
-	within := []float64{}
+	deadlines, within := []float64{}, []float64{}
 	for _, a := range aims {
 		switch {
 		case a.Class != spec.Class:
 		case a.Kind == "deadline" && spec.DeadlineS != nil:
-			within = append(within, *spec.DeadlineS*cmp.Or(a.Times, 1))
+			deadlines = append(deadlines, *spec.DeadlineS*cmp.Or(a.Times, 1))
 		case a.Kind == "finished" && spec.DeadlineS == nil:
 			within = append(within, a.Within.Seconds())
 		}
 	}
-	if len(within) == 0 && spec.DeadlineS != nil {
-		within = append(within, *spec.DeadlineS)
+	if len(deadlines) == 0 && spec.DeadlineS != nil {
+		deadlines = append(deadlines, *spec.DeadlineS)
+	}
+	for _, s := range deadlines {
+		due = append(due, sent+core.Wall(s*1000))
 	}
-	slices.Sort(within)
 	for _, s := range within {
 		due = append(due, at+core.Wall(s*1000))
 	}
+	if needed > 0 {
+		due = append(due, needed)
+	}
+	slices.Sort(due)
 	return due
 }
 
@@ -79,7 +87,7 @@
 // Late tells whether a waiting job can no longer meet any of the aims that its
 // users stated for its class, nor its own deadline. Such a job yields to those
 // that can still be in time.
-func Late(aims []config.Aim, spec *api.Job, at, now core.Wall) bool {
+func Late(aims []config.Aim, spec *api.Job, sent, at, now core.Wall) bool {
 	age := time.Duration(now-at) * time.Millisecond
 	if age > lateFor {
 		return false
@@ -98,7 +106,7 @@
 				times = max(times, a.Times)
 			}
 		}
-		if !check(time.Duration(float64(deadline)*times) - age - estimate) {
+		if !check(time.Duration(float64(deadline)*times) - time.Duration(now-sent)*time.Millisecond - estimate) {
 			return false
 		}
 	}
--- a/internal/capacity/share.go
+++ b/internal/capacity/share.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// expect claims room for jobs that may run soon, in their blocks and in the pool, and rents
+// what is missing: a step of a pipeline takes less time than a machine takes to boot.
+func (p *planner) expect(jobs []*Job) {
+	for _, j := range jobs {
+		if j.Idle() || j.Probe {
+			continue
+		}
+		j.NoChoice, j.Zones = NoChoice(&j.Job, p.in.Types, p.in.Kept), map[string]int{}
+		n := p.wants(j)
+		if n <= 0 {
+			continue
+		}
+		p.team[j.Team] += float64(n) * j.Need.CPUs
+		n -= p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+		j.Block = NoBlock
+		n -= p.claim(j, n, func(r *room) bool { return r.block == NoBlock })
+		if n > 0 {
+			p.rent(j, n)
+		}
+	}
+}
+
 // unmet is how many tasks of a job found no room.
 type unmet struct {
 	j *Job
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,7 +76,8 @@
 // the longer, the less often a start has to wait for the next report.
 func (w Workers) Hold() time.Duration { return min(3200*time.Millisecond, w.Lease/4) }
 
-// StateLimits holds the limits of the state service.
+// StateLimits holds the limits of the state service: the lower of the present and the
+// coming ones.
 type StateLimits struct {
 	RPS, WriteRPS float64
 	ValueBytes    int
@@ -172,6 +173,13 @@
 			WriteRPS *float64 `toml:"write_rps"`
 			ValueKB  *float64 `toml:"value_kb"`
 			TxnOps   *int     `toml:"txn_ops"`
+			// Next holds the limits that the service will have from some moment on.
+			Next struct {
+				RPS      *float64 `toml:"rps"`
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      *float64 `toml:"rps"`
@@ -298,6 +306,21 @@
 			Sockets: k.whole("settings.limits.fd_limit", s.Limits.Sockets),
 		},
 	}
+	// The service lowers its limits without notice, so the lower of both are kept from
+	// the start. What is not named stays as it is.
+	next, now := &s.State.Next, &c.StateLim
+	if next.RPS != nil {
+		now.RPS = min(now.RPS, k.positive("settings.state.next.rps", next.RPS))
+	}
+	if next.WriteRPS != nil {
+		now.WriteRPS = min(now.WriteRPS, k.positive("settings.state.next.write_rps", next.WriteRPS))
+	}
+	if next.ValueKB != nil {
+		now.ValueBytes = min(now.ValueBytes, int(k.positive("settings.state.next.value_kb", next.ValueKB)*1024))
+	}
+	if next.TxnOps != nil {
+		now.TxnOps = min(now.TxnOps, k.whole("settings.state.next.txn_ops", next.TxnOps))
+	}
 	if c.Workers.Cancel <= c.Workers.Lease {
 		k.fail("settings.workers.cancel_s", "must be longer than lease_s")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -166,3 +166,25 @@
 		}
 	}
 }
+
+// The limits that the state service will have are kept from the start, where they are
+// lower; they may be missing, in part or whole, and wrong ones are refused by name.
+func TestLimitsToCome(t *testing.T) {
+	with := func(next string) (*Config, error) {
+		return parse([]byte(strings.Replace(good, "[settings.cloud]", "[settings.state.next]\n"+next+"\n[settings.cloud]", 1)))
+	}
+	c, err := with("write_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 10")
+	if err != nil || c.StateLim.WriteRPS != 28 || c.StateLim.ValueBytes != 2048 || c.StateLim.TxnOps != 10 || c.StateLim.RPS != 100 {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	if c, err = with("write_rps = 400.0\nfuture = 1"); err != nil || c.StateLim.WriteRPS != 40 || c.StateLim.TxnOps != 32 {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	for next, field := range map[string]string{
+		"value_kb = 0.0": "settings.state.next.value_kb", "txn_ops = 0": "settings.state.next.txn_ops", `rps = "many"`: "settings.state.next.rps", "write_rps = -1.0": "settings.state.next.write_rps",
+	} {
+		if _, err := with(next); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: got %v", next, err)
+		}
+	}
+}
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -304,15 +305,21 @@
 			continue
 		}
 		n, ok := l.Mirror.TeamBlock(e.Team)
-		if !ok {
-			continue
-		}
-		j := &capacity.Job{Job: placement.JobOf(id, e.At, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len()}
-		j.Probe, j.Running = failing[id], running[id]
-		j.Overdue = capacity.Overdue(e.At, wall, j.Running > 0 || !e.Done.Empty())
-		j.Timed = capacity.Timed(l.Config.Aims, e.Spec)
-		j.Stuck = j.Running == 0 && capacity.Stuck(time.Duration(wall-e.At)*time.Millisecond)
-		if due := capacity.Due(l.Config.Aims, e.Spec, e.At); len(due) > 0 {
+		at, ready := l.Mirror.Begins(e)
+		soon := !ready && l.Mirror.Soon(e, func(id core.JobID) bool { return running[id] > 0 })
+		if !ok || !ready && !soon {
+			continue // nothing is kept or rented for what cannot start
+		}
+		if soon {
+			at = wall
+		}
+		j := &capacity.Job{Job: placement.JobOf(id, at, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len()}
+		j.Probe, j.Running, j.Soon = failing[id], running[id], soon
+		j.Overdue = capacity.Overdue(at, wall, j.Running > 0 || !e.Done.Empty())
+		j.Rank = max(j.Rank, e.Urgency.Rank)
+		j.Timed = e.Urgency.Due > 0 || capacity.Timed(l.Config.Aims, e.Spec)
+		j.Stuck = j.Running == 0 && capacity.Stuck(time.Duration(wall-at)*time.Millisecond)
+		if due := capacity.Due(l.Config.Aims, e.Spec, e.At, at, e.Urgency.Due); len(due) > 0 {
 			j.Deadline = due[0]
 		}
 		jobs = append(jobs, j)
@@ -325,11 +332,14 @@
 	})
 	guarantees := capacity.NewGuarantees(l.Config.Teams)
 	for _, j := range jobs {
+		if j.Soon {
+			continue
+		}
 		j.Guaranteed = guarantees.Within(j.Team, j.Need.CPUs*float64(j.Remaining))
 		j.Timed = j.Timed || j.Guaranteed
 	}
 	in.Jobs = jobs
-	l.trend.Arrivals(now, jobs, in.Kept, in.Types)
+	l.trend.Arrivals(now, slices.DeleteFunc(slices.Clone(jobs), func(j *capacity.Job) bool { return j.Soon }), in.Kept, in.Types)
 	in.Keep = l.trend.Keep()
 	plan := capacity.Make(in)
 	for _, id := range hopeless {
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -68,10 +68,10 @@
 // status describes a job as the mirror shows it.
 func (n *Node) status(id core.JobID, e *state.JobEntry) api.JobStatus {
 	s := api.JobStatus{ID: string(id)}
-	switch e.Phase {
-	case state.JobDone:
+	switch {
+	case e.Phase == state.JobDone:
 		s.Phase, s.Done = api.PhaseDone, e.Tasks
-	case state.JobCancelled:
+	case e.Cancelled():
 		s.Phase = api.PhaseCancelled
 	default:
 		s.Phase, s.Done = api.PhaseQueued, min(e.Done.Len(), e.Tasks-1)
@@ -120,12 +120,24 @@
 
 // create is a submission on its way to the state service.
 type create struct {
-	id    core.JobID
-	raw   []byte
-	due   core.Time
+	id  core.JobID
+	raw []byte
+	due core.Time
+	// after: it depends on others, and may have been cancelled with one of them by now.
+	after bool
 	reply Reply
 }
 
+// unknown names a job that a submission depends on and that the mirror does not show.
+func (n *Node) unknown(j *api.Job) string {
+	for _, id := range j.Dependencies {
+		if n.mirror.Jobs[core.JobID(id)] == nil {
+			return id
+		}
+	}
+	return ""
+}
+
 // Submit takes a job.
 func (n *Node) Submit(body []byte, reply Reply) {
 	j, err := api.ParseJob(body)
@@ -147,13 +159,29 @@
 		n.Get(id, reply)
 		return
 	}
-	if why, field := n.impossible(&j); why != "" {
+	// What is refused for good may have been accepted by another node a moment ago.
+	unless := func(status int, why, field string) {
 		n.fresh(reply, func() {
 			if e := n.mirror.Jobs[id]; e != nil {
 				reply(n.known(id, e))
 				return
 			}
-			reply(refuse(422, why, field))
+			reply(refuse(status, why, field))
+		})
+	}
+	if why, field := n.impossible(&j); why != "" {
+		unless(422, why, field)
+		return
+	}
+	if n.unknown(&j) != "" {
+		n.fresh(reply, func() {
+			if e := n.mirror.Jobs[id]; e != nil {
+				reply(n.known(id, e))
+			} else if before := n.unknown(&j); before != "" {
+				reply(refuse(422, "no such job: "+before, "roots"))
+			} else {
+				n.Submit(body, reply)
+			}
 		})
 		return
 	}
@@ -162,14 +190,18 @@
 		Phase: state.JobAccepted, Tasks: j.Tasks, At: n.loop.Wall(), Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Spec: &j,
 	})
 	if err != nil || len(raw) > n.cfg.StateLim.ValueBytes {
-		reply(refuse(400, "job description too large", ""))
+		field := ""
+		if len(j.Dependencies) > 0 {
+			field = "roots"
+		}
+		unless(400, "job description too large", field)
 		return
 	}
 	if len(n.creates) >= maxCreates {
 		reply(Answer{Status: 429, Body: api.Error{Error: "too many submissions"}, RetryAfter: n.cfg.Operator.RetryAfter})
 		return
 	}
-	n.creates = append(n.creates, &create{id, raw, n.loop.Now().Add(createWait), reply})
+	n.creates = append(n.creates, &create{id, raw, n.loop.Now().Add(createWait), len(j.Dependencies) > 0, reply})
 	n.commit()
 }
 
@@ -247,7 +279,17 @@
 		switch r.Outcome {
 		case state.Applied:
 			for _, c := range batch {
-				c.reply(Answer{Status: 201, Body: api.JobStatus{ID: string(c.id), Phase: api.PhaseQueued}})
+				if !c.after {
+					c.reply(Answer{Status: 201, Body: api.JobStatus{ID: string(c.id), Phase: api.PhaseQueued}})
+					continue
+				}
+				n.mirror.Await(r.Revision, func(ok bool) {
+					if e := n.mirror.Jobs[c.id]; ok && e != nil {
+						c.reply(Answer{Status: 201, Body: n.status(c.id, e)})
+						return
+					}
+					c.reply(n.later("the state service does not answer"))
+				})
 			}
 		case state.Conflict, state.Unknown:
 			// Some are there already, or all may be: look before deciding.
@@ -303,7 +345,7 @@
 		}
 		t := api.Txn{
 			If:   []api.Condition{{Key: state.KeyJob(id), Version: uint64(e.Version)}},
-			Then: []api.Change{state.Put(state.KeyJob(id), e.Job.End(state.JobCancelled))},
+			Then: []api.Change{state.Put(state.KeyJob(id), e.Job.End(state.JobCancelled, 0))},
 		}
 		n.state.Txn(t, func(r state.Result) {
 			switch r.Outcome {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -273,7 +273,7 @@
 // changed takes in what has changed in the mirror.
 func (n *Node) changed(t state.Touched) {
 	for _, id := range t.Jobs {
-		if e := n.mirror.Jobs[id]; e != nil && e.Spec != nil {
+		if e := n.mirror.Jobs[id]; e != nil && e.Spec != nil && n.mayRun(e) {
 			n.shapes.Note(n.loop.Now(), e.Spec)
 		}
 	}
@@ -287,6 +287,11 @@
 	n.unpark()
 }
 
+func (n *Node) mayRun(e *state.JobEntry) bool {
+	_, ok := n.mirror.Begins(e)
+	return ok
+}
+
 // follow starts and ends the roles that the records give this node.
 func (n *Node) follow() {
 	l := n.mirror.Leader
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"reflect"
 	"testing"
 	"time"
@@ -104,3 +105,18 @@
 		t.Fatal("a frame that is cut off is read")
 	}
 }
+
+// A beat is what the version in production sends, to the byte: one that it could not read
+// would make live holders look dead.
+func TestBeatOfTheFormerVersion(t *testing.T) {
+	former, err := os.ReadFile("testdata/former-beat.bin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(former, Encode(beat())) {
+		t.Fatalf("written as %x, the former version wrote %x", Encode(beat()), former)
+	}
+	if got, ok, err := Decode(former); err != nil || !ok || !reflect.DeepEqual(got, beat()) {
+		t.Fatalf("%+v %v %v", got, ok, err)
+	}
+}
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -499,3 +499,57 @@
 		t.Error("a start after a confirmed cancellation is not counted")
 	}
 }
+
+// The end of a job and its cancellation are written at the same moment, by different
+// controllers, and one of the two writes is carried out a second late, after its answer
+// was given up: whichever came first stands, and nobody is told otherwise.
+func TestDoneMeetsCancellation(t *testing.T) {
+	for _, phase := range []state.JobPhase{state.JobDone, state.JobCancelled} {
+		w := NewWorld(Settings(3), 43, nil)
+		w.Populate()
+		met := map[string]bool{}
+		w.State.Decide = func(from core.Host, t api.Txn) (f TxnFate) {
+			for _, c := range t.Then {
+				id, isJob := strings.CutPrefix(c.Set, state.KeyJob(""))
+				var j state.Job
+				if !isJob || api.Decode(c.Value, &j) != nil || met[id] {
+					continue
+				}
+				switch {
+				case j.Phase == state.JobDone && phase == state.JobDone:
+					met[id] = true
+					w.Users.Cancel(id)
+					f.Late = time.Second
+				case j.Phase == state.JobCancelled && phase == state.JobCancelled:
+					met[id] = true
+					f.Late = time.Second
+				}
+			}
+			return f
+		}
+		for i := range 20 {
+			j := w.RandomJob(1 + i)
+			j.Form, j.Types, j.Zone, j.GPUs, j.CPUs, j.Tasks, j.OneZone, j.Scatter, j.EstimateS, j.ImageGB = api.FormArray, nil, nil, 0, 1, 1, false, false, 8, 0.1
+			at(w, 5+float64(i), func() { w.Users.Submit(j) })
+		}
+		if phase == state.JobCancelled {
+			w.CancelAtEnd = 1
+		}
+		w.Run(90 * time.Second)
+		if len(w.Check.Broken) > 0 {
+			t.Fatalf("%s late: %v", phase, w.Check.Broken)
+		}
+		done, cancelled := 0, 0
+		for _, j := range w.Check.jobs {
+			switch j.final {
+			case api.PhaseDone:
+				done++
+			case api.PhaseCancelled:
+				cancelled++
+			}
+		}
+		if len(met) < 10 || done+cancelled < 20 || phase == state.JobDone && cancelled == 0 {
+			t.Fatalf("%s late: %d met, %d done, %d cancelled", phase, len(met), done, cancelled)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/pipeline_test.go
@@ -0,0 +1,323 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+	"lichenstair/internal/state"
+)
+
+// step is a job of a pipeline: one short array.
+func (w *World) step(n int, team string, needs ...string) api.Job {
+	return api.Job{
+		ID: fmt.Sprintf("req-%06d", n), Class: "step", Team: team, Form: api.FormArray, Rank: api.RankStandard, Tasks: 2, CPUs: 1, MemoryGB: 1,
+		Image: "step", ImageGB: 0.1, EstimateS: 4, Spot: true, Dependencies: needs,
+	}
+}
+
+// Random graphs of jobs across teams and blocks, some of them cancelled, under every kind
+// of trouble: nothing starts too early, and what needs a cancelled job is cancelled with it.
+func TestPipelinesUnderTroubles(t *testing.T) {
+	for seed := range seeds(16) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := NewWorld(Settings(3), 6000+seed, nil)
+			w.Populate()
+			w.Pipelines = 0.5
+			w.Load(260*time.Second, 3*time.Second)
+			names := faultNames()
+			names = slices.DeleteFunc(names, func(n string) bool { return n == "a team leaves the settings" })
+			for at := 25 * time.Second; at < 220*time.Second; at += time.Duration(w.between(2, 40) * float64(time.Second)) {
+				name := names[w.Rand.IntN(len(names))]
+				w.At(at, func() { Faults[name](w) })
+			}
+			calm := 220*time.Second + longestFault
+			w.At(calm, func() {
+				w.Check.Calm(w.Now())
+				w.watchRoom()
+			})
+			w.Run(calm + 250*time.Second)
+			w.Check.End()
+			w.Check.Served()
+			if len(w.Check.Broken) > 0 {
+				t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+			}
+			done, withdrawn := 0, 0
+			for _, j := range w.Check.jobs {
+				switch {
+				case len(j.spec.Dependencies) == 0:
+				case j.final == api.PhaseDone:
+					done++
+				case j.final == api.PhaseCancelled && !j.asked:
+					withdrawn++
+				}
+			}
+			if done == 0 || withdrawn == 0 {
+				t.Fatalf("seed %d: %d jobs with others before them are done, %d were cancelled with those", seed, done, withdrawn)
+			}
+		})
+	}
+}
+
+// A chain, a fan and a diamond run in their order, each step soon after the last; one
+// cancellation ends all that comes after, at any depth, with one change.
+func TestPipelineShapes(t *testing.T) {
+	w := NewWorld(Settings(3), 61, nil)
+	w.Populate()
+	teams := []string{"red", "blue", "green", "grey"}
+	// As users do, each as soon as those that it needs are accepted.
+	var when func(j api.Job)
+	when = func(j api.Job) {
+		for _, id := range j.Dependencies {
+			if b := w.Users.jobs[id]; b == nil || !b.accepted {
+				w.In(20*time.Millisecond, func() { when(j) })
+				return
+			}
+		}
+		w.Users.Submit(j)
+	}
+	submit := func(s float64, j api.Job) { at(w, s, func() { when(j) }) }
+	last := ""
+	for i := range 12 { // a chain through all blocks
+		j := w.step(100+i, teams[i%4])
+		if last != "" {
+			j.Dependencies = []string{last}
+		}
+		last = j.ID
+		submit(5+0.2*float64(i), j)
+	}
+	submit(5, w.step(200, "red"))
+	var fan []string
+	for i := range 8 {
+		j := w.step(201+i, teams[i%4], "req-000200")
+		fan = append(fan, j.ID)
+		submit(6, j)
+	}
+	submit(7, w.step(220, "blue", fan...))
+	// A long job, and a chain behind it that is cancelled at its head.
+	head := w.step(300, "green")
+	head.EstimateS = 90
+	submit(5, head)
+	last = head.ID
+	for i := range 40 {
+		j := w.step(301+i, teams[i%4], last)
+		last = j.ID
+		submit(6+0.1*float64(i), j)
+	}
+	at(w, 30, func() { w.Users.Cancel(head.ID) })
+	late := w.step(390, "red", last)
+	submit(35, late)
+	w.Run(130 * time.Second)
+	if len(w.Check.Broken) > 0 {
+		t.Fatal(w.Check.Broken)
+	}
+	for _, id := range []string{"req-000111", "req-000220"} {
+		if j := w.Check.jobs[id]; j.final != api.PhaseDone {
+			t.Errorf("%s is not done", id)
+		}
+	}
+	if end := w.Check.jobs["req-000111"].ended; end > 125*time.Second {
+		t.Errorf("twelve steps of about 4 s took until %s", end)
+	}
+	for i := range 41 {
+		id := fmt.Sprintf("req-%06d", 300+i)
+		if j := w.Check.jobs[id]; j.final != api.PhaseCancelled || j.on > 0 || i > 0 && j.begun {
+			t.Errorf("%s: %q, begun %v", id, j.final, j.begun)
+		}
+	}
+	if j := w.Check.jobs[late.ID]; !j.accepted || j.final != api.PhaseCancelled {
+		t.Errorf("a job that names a cancelled one: accepted %v, %q", j.accepted, j.final)
+	}
+	written := 0
+	for _, e := range w.State.log {
+		if strings.HasPrefix(e.Set, state.KeyJob("req-0003")) && strings.Contains(string(e.Value), `"phase":"cancelled"`) {
+			written++
+		}
+	}
+	if written != 1 {
+		t.Errorf("%d records of cancelled jobs were written for 42 jobs", written)
+	}
+}
+
+// A submission that names a job never accepted gets 422 only from a node that is proven to
+// be up to date; one that can't be says so.
+func TestUnknownDependency(t *testing.T) {
+	w := NewWorld(Settings(3), 62, nil)
+	w.Populate()
+	w.Run(5 * time.Second)
+	ask := func(h *Host, j api.Job) (status int) {
+		raw, err := json.Marshal(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.exchange("users", core.Request{Addr: h.addr, Method: "POST", Path: "/work", Body: raw, Timeout: 4 * time.Second}, func(r core.Response) { status = r.Status })
+		w.Run(w.Now() + 4*time.Second)
+		return status
+	}
+	first, second := w.step(1, "red"), w.step(2, "blue", "req-000001")
+	if got := ask(w.Hosts[0], second); got != 422 {
+		t.Fatalf("a job that names an unknown one is answered %d", got)
+	}
+	w.State.Refuse(w.Hosts[1].name, time.Minute)
+	if got := ask(w.Hosts[0], first); got != 201 {
+		t.Fatalf("answered %d", got)
+	}
+	if got := ask(w.Hosts[1], second); got != 503 {
+		t.Fatalf("a node that cannot know answers %d", got)
+	}
+	for _, h := range []*Host{w.Hosts[2], w.Hosts[0]} {
+		if got := ask(h, second); got != 201 && got != 200 {
+			t.Fatalf("answered %d", got)
+		}
+	}
+}
+
+// While half of the controllers are of the version before, which keeps the older limits
+// and drops what it does not know, and after all have been replaced in turn, the rules
+// hold; the limits are lowered without notice once all are new, at different moments of an
+// election, a grant, a move and a round.
+func TestUpgradeInService(t *testing.T) {
+	for seed := range seeds(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			cfg := Settings(3)
+			former := cfg.StateLim
+			former.ValueBytes = 16 << 10
+			cfg.StateLim.ValueBytes, cfg.StateLim.TxnOps, cfg.StateLim.WriteRPS = 2<<10, 12, 30
+			w := NewWorld(cfg, 6500+seed, nil)
+			w.FormerLim = former
+			w.State.Lower(former)
+			for _, h := range w.Hosts {
+				h.Former = true
+			}
+			w.Populate()
+			at(w, 48, func() {
+				for range 60 {
+					w.Cloud.Add("small", "a", false, 0)
+				}
+			})
+			w.Load(260*time.Second, 3*time.Second)
+			largest := 0
+			for i, h := range w.Hosts {
+				at(w, 60+12*float64(i), func() {
+					for _, e := range w.State.keys {
+						largest = max(largest, len(e.value))
+					}
+					h.Former = false
+					h.Restart(time.Duration(w.between(0.1, 5) * float64(time.Second)))
+				})
+			}
+			at(w, 66, func() { w.anyHost().Restart(300 * time.Millisecond) })
+			at(w, 80, func() { w.Users.CancelNow(3, 0) })
+			at(w, 95, func() { w.Pipelines = 0.5 })
+			// The limits fall at some moment after the last one, and something else with it.
+			w.At(98*time.Second+time.Duration(w.between(0, 3000))*time.Millisecond, func() { w.State.Lower(cfg.StateLim) })
+			at(w, 98, func() {
+				switch seed % 4 {
+				case 0:
+					w.leader().Restart(500 * time.Millisecond)
+				case 1:
+					w.anyHost().Restart(4 * time.Second)
+				case 2:
+					busy(w, 9000)
+				}
+			})
+			for i, name := range []string{"late writes", "crash all", "leader refused, then everybody", "quick restart"} {
+				at(w, 110+20*float64(i), func() { Faults[name](w) })
+			}
+			w.At(330*time.Second, func() {
+				w.Check.Calm(w.Now())
+				w.watchRoom()
+			})
+			w.Run(580 * time.Second)
+			w.Check.End()
+			w.Check.Served()
+			if len(w.Check.Broken) > 0 {
+				t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+			}
+			if largest <= cfg.StateLim.ValueBytes {
+				t.Fatalf("seed %d: the version before left no record of more than %d bytes", seed, largest)
+			}
+			done := 0
+			for _, j := range w.Check.jobs {
+				if len(j.spec.Dependencies) > 0 && j.final == api.PhaseDone {
+					done++
+				}
+			}
+			if done == 0 {
+				t.Fatalf("seed %d: no pipeline was done", seed)
+			}
+		})
+	}
+}
+
+// Limits that nobody told of: what is refused for its size is tried again in smaller
+// pieces, and what comes too often more slowly; nothing is lost and nobody gives up.
+func TestLimitsLoweredUnannounced(t *testing.T) {
+	w := NewWorld(Settings(3), 67, nil)
+	w.Populate()
+	w.Load(150*time.Second, 2*time.Second)
+	at(w, 60, func() {
+		w.State.Unannounced = true
+		w.State.Lower(config.StateLimits{RPS: 100, WriteRPS: 25, ValueBytes: 8 << 10, TxnOps: 8})
+	})
+	at(w, 61, func() { busy(w, 9000) })
+	at(w, 90, func() { w.leader().Restart(time.Second) })
+	w.At(160*time.Second, func() { w.Check.Calm(w.Now()) })
+	w.Run(420 * time.Second)
+	w.Check.Served()
+	if len(w.Check.Broken) > 0 {
+		t.Fatal(w.Check.Broken)
+	}
+	if w.State.TooLarge == 0 || w.State.TooLarge > 60 {
+		t.Fatalf("%d transactions were refused for their size", w.State.TooLarge)
+	}
+}
+
+// The checks of pipelines fire on made-up breaches.
+func TestCheckerOfPipelines(t *testing.T) {
+	for _, tc := range []struct {
+		name, rule string
+		play       func(c *Checker)
+	}{
+		{"in order", "", func(c *Checker) {
+			c.Completed(core.TaskID{Job: "req-1"})
+			c.On(core.TaskID{Job: "req-2"}, Place{ID: "n-1"})
+		}},
+		{"too early", "too_early", func(c *Checker) { c.On(core.TaskID{Job: "req-2"}, Place{ID: "n-1"}) }},
+		{"queued after one two steps before was cancelled", "orphaned", func(c *Checker) {
+			c.CancelAsked("req-1")
+			c.Told("req-1", api.PhaseCancelled, c.now)
+			c.Told("req-3", api.PhaseQueued, c.now)
+		}},
+		{"cancelled with one two steps before", "", func(c *Checker) {
+			c.CancelAsked("req-1")
+			c.Told("req-1", api.PhaseCancelled, c.now)
+			c.Told("req-3", api.PhaseCancelled, c.now)
+		}},
+		{"cancelled with one that needs it", "went_back", func(c *Checker) {
+			c.CancelAsked("req-3")
+			c.Told("req-2", api.PhaseCancelled, c.now)
+		}},
+	} {
+		c := NewChecker([]config.Team{{Name: "red", CPUsMax: 10}}, 30*time.Second)
+		for i, needs := range [][]string{nil, {"req-1"}, {"req-2"}} {
+			id := fmt.Sprint("req-", i+1)
+			c.Submitted(api.Job{ID: id, Team: "red", Form: api.FormArray, Tasks: 1, CPUs: 1, Dependencies: needs})
+			c.Told(id, api.PhaseQueued, 0)
+		}
+		c.Step(time.Second)
+		tc.play(c)
+		got := strings.Join(c.Broken, "; ")
+		if tc.rule == "" && got != "" || tc.rule != "" && !strings.Contains(got, tc.rule+":") {
+			t.Errorf("%s: want %q, got %q", tc.name, tc.rule, got)
+		}
+	}
+}
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -95,6 +95,12 @@
 		}
 		n++
 		j := w.RandomJob(n)
+		if w.Pipelines > 0 && w.chance(w.Pipelines) {
+			j.Dependencies = w.Users.someAccepted(1 + w.Rand.IntN(3))
+			if w.chance(0.6) {
+				j.DeadlineS = nil
+			}
+		}
 		w.Users.Submit(j)
 		if w.chance(0.15) {
 			w.In(time.Duration(w.between(0, 60)*float64(time.Second)), func() { w.Users.Cancel(j.ID) })
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -139,6 +139,8 @@
 	}{
 		{"fits no machine", func(f map[string]any) { f["cpus"] = 4096.0 }},
 		{"lacks a field", func(f map[string]any) { delete(f, "growS") }},
+		{"names a job that nobody submitted", func(f map[string]any) { f["roots"] = []string{"req-777000777"} }},
+		{"names itself", func(f map[string]any) { f["roots"] = []any{f["uid"]} }},
 		{"has a wrong field", func(f map[string]any) { f["spores"] = "many" }},
 	} {
 		spec := j.spec
@@ -253,6 +255,24 @@
 	})
 }
 
+// someAccepted names up to n accepted jobs, the later ones more often, whatever their
+// state: so there are chains, fans and diamonds, across teams.
+func (u *Users) someAccepted(n int) (out []string) {
+	var ids []string
+	for _, id := range core.Keys(u.jobs) {
+		if u.jobs[id].accepted {
+			ids = append(ids, id)
+		}
+	}
+	for range min(n, len(ids)) {
+		id := ids[len(ids)-1-u.w.Rand.IntN(min(len(ids), 8))]
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Stranger asks for a job that nobody submitted.
 func (u *Users) Stranger() {
 	id := fmt.Sprintf("req-9%08d", u.w.Rand.IntN(1e8))
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -65,6 +65,10 @@
 	// LateReports is the share of reports of which a copy comes later, from
 	// seconds to several leases.
 	LateReports float64
+	// FormerLim holds the limits that controllers of the version before keep.
+	FormerLim config.StateLimits
+	// Pipelines is the share of jobs that depend on others.
+	Pipelines float64
 	// SlowLinks is how much longer a message takes, at most.
 	SlowLinks time.Duration
 	// CancelAtEnd is the share of the jobs that end which their users call off at that
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -26,12 +26,14 @@
 	NoTenure
 	// Refused: the service did not execute it.
 	Refused
+	// Oversized: the service does not take it as it is; it must be smaller.
+	Oversized
 	// Unknown: it may have been executed, or may still be.
 	Unknown
 )
 
 func (o Outcome) String() string {
-	return [...]string{"applied", "conflict", "no tenure", "refused", "unknown"}[o]
+	return [...]string{"applied", "conflict", "no tenure", "refused", "oversized", "unknown"}[o]
 }
 
 // Result is what came of a transaction.
@@ -56,6 +58,9 @@
 	queues   [lanes][]queued
 	turn     [lanes]float64 // how much each lane was served, by its weight
 	waking   core.Time      // when drain runs next; 0: when something comes
+	// Transactions have one over this of the changes that the settings allow, until then.
+	shrink      int
+	shrinkUntil core.Time
 }
 
 // lane is a queue of requests.
@@ -121,11 +126,43 @@
 
 // Batch is how many changes a transaction should have that can wait: no more than
 // this node may make in a second, so that others do not wait long behind it.
-func (c *Client) Batch(most int) int { return max(min(most, int(c.writes.rate)), min(most, 6)) }
+func (c *Client) Batch(most int) int {
+	most = c.shrunk(most)
+	return max(min(most, int(c.writes.rate)), min(most, 6))
+}
+
+const (
+	shrinkTime = 30 * time.Second
+	maxShrink  = 16
+)
+
+// shrunk is how many of most changes a transaction may have, after one was too large.
+func (c *Client) shrunk(most int) int {
+	if c.shrink > 1 && c.loop.Now() < c.shrinkUntil {
+		return max(most/c.shrink, 1)
+	}
+	return most
+}
+
+// heed takes in what the service does not allow: transactions get smaller, changes slower.
+// Its limits may become lower than anybody was told.
+func (c *Client) heed(status int, out Outcome) {
+	switch {
+	case out == Oversized:
+		if c.loop.Now() >= c.shrinkUntil {
+			c.shrink = 1
+		}
+		c.shrink, c.shrinkUntil = min(2*max(c.shrink, 1), maxShrink), c.loop.Now().Add(shrinkTime)
+	case status == 429:
+		c.writes.fill()
+		c.writes.level = min(c.writes.level, 0)
+	}
+}
 
 // Affordable is how many changes could be sent now, of at most most, and a share of
 // a second's worth at least.
 func (c *Client) Affordable(most int) int {
+	most = c.shrunk(most)
 	c.writes.fill()
 	return max(min(most, int(c.writes.level)), min(most, int(c.writes.rate/2)+1))
 }
@@ -245,12 +282,15 @@
 	}
 	body, err := json.Marshal(t)
 	if err != nil || len(body) > api.MaxBody {
-		done(Result{Outcome: Refused})
+		c.heed(0, Oversized)
+		done(Result{Outcome: Oversized})
 		return
 	}
 	c.enqueue(l, len(t.Then), func() {
 		c.call.Call(core.Request{Addr: c.addr, Method: "POST", Path: "/txn", Body: body, Timeout: txnTimeout}, func(r core.Response) {
-			done(txnResult(r))
+			res := txnResult(r)
+			c.heed(r.Status, res.Outcome)
+			done(res)
 		})
 	}, func() { done(Result{Outcome: Refused}) })
 }
@@ -272,7 +312,7 @@
 		if json.Unmarshal(r.Body, &e) == nil && e.Error == "no such lease" {
 			return Result{Outcome: NoTenure}
 		}
-		return Result{Outcome: Refused}
+		return Result{Outcome: Oversized}
 	case 429, 503:
 		return Result{Outcome: Refused}
 	default:
--- /dev/null
+++ b/internal/state/former_test.go
@@ -0,0 +1,73 @@
+package state
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"testing"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+)
+
+// Records as the version in production wrote them (deploy/service.toml) are read, and
+// what is written from them is what that version would have written, field by field. The
+// one new field, `ended` in the record of a done job, is one that it passes over.
+func TestRecordsOfTheFormerVersion(t *testing.T) {
+	raw, err := os.ReadFile("testdata/former.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var records map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &records); err != nil {
+		t.Fatal(err)
+	}
+	m := newTestMirror(0)
+	var events []api.Event
+	for i, key := range core.Keys(records) {
+		events = append(events, api.Event{Set: key, Value: records[key], Version: uint64(i + 1)})
+	}
+	m.take(events)
+	job := m.Jobs["req-000412"]
+	if at, ok := m.Begins(job); !ok || at != 1700000000123 || job.Over() || job.Done.Len() != 3 || *job.Spec.DeadlineS != 120.5 {
+		t.Fatalf("%+v", job)
+	}
+	if !m.Jobs["req-000398"].Over() || m.Jobs["req-000398"].Cancelled() || !m.Jobs["req-000399"].Cancelled() {
+		t.Fatal("jobs that are over")
+	}
+	part := func(shelf, k int) *Part { return m.shelves[shelf].parts[k].Record }
+	var types []api.MachineType
+	for _, typ := range m.Types.Record {
+		types = append(types, typ)
+	}
+	written := map[string]any{
+		KeyJob("req-000412"): job.Job, KeyJob("req-000398"): m.Jobs["req-000398"].Job, KeyJob("req-000399"): job.End(JobCancelled, 0),
+		KeyBlock(1): m.Blocks[1].Record, keyPart(1, 0): part(1, 0), keyPart(PoolShelf, 2): part(PoolShelf, 2),
+		KeyRound(1, 41, 3): m.Rounds[1][KeyRound(1, 41, 3)], KeyTerm: m.Term.Record, KeyLeader: m.Leader.Record,
+		KeyMember("stalk-0"): m.Members["stalk-0"].Record, keyArrivals: m.arrivals.Record, KeyTypes: types,
+	}
+	if len(written) != len(records) {
+		t.Fatalf("%d of %d kinds of record are compared", len(written), len(records))
+	}
+	for key, record := range written {
+		var want bytes.Buffer
+		if err := json.Compact(&want, records[key]); err != nil {
+			t.Fatal(err)
+		}
+		if got := Put(key, record).Value; string(got) != want.String() {
+			t.Errorf("%s is written as\n%s, the former version wrote\n%s", key, got, want.String())
+		}
+	}
+	// What the former version knows of a job that is done.
+	var former struct {
+		Phase    JobPhase
+		Tasks    int
+		At       core.Wall
+		Team     string
+		CPUs     float64
+		MemoryGB float64 `json:"memory"`
+	}
+	if err := json.Unmarshal(Put("", job.End(JobDone, 99)).Value, &former); err != nil || former.Phase != JobDone || former.Tasks != 4 || former.CPUs != 8 || former.MemoryGB != 64 {
+		t.Fatalf("%+v, %v", former, err)
+	}
+}
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -47,9 +47,10 @@
 	Jobs    map[core.JobID]*JobEntry
 	Rounds  map[int]map[string]*Round
 
-	shelves  map[int]*Shelf
-	arrivals Versioned[Arrivals]
-	versions map[string]core.Revision
+	dependents map[core.JobID][]core.JobID // of jobs that are not known to be over
+	shelves    map[int]*Shelf
+	arrivals   Versioned[Arrivals]
+	versions   map[string]core.Revision
 
 	// Changed is called after changes have been taken in, with what they touched.
 	Changed func(Touched)
@@ -66,6 +67,10 @@
 	Job
 	Version core.Revision
 	Done    core.Set
+	Urgency Urgency
+
+	needs     []core.JobID // jobs that have to be done first
+	withdrawn bool         // cancelled with one of them
 }
 
 // Touched says which kinds of record a batch of changes concerned.
@@ -107,7 +112,7 @@
 	m.Members = map[core.Host]Versioned[Member]{}
 	m.Blocks = map[int]Versioned[*Block]{}
 	if m.Jobs == nil {
-		m.Jobs = map[core.JobID]*JobEntry{}
+		m.Jobs, m.dependents = map[core.JobID]*JobEntry{}, map[core.JobID][]core.JobID{}
 	}
 	m.Rounds = map[int]map[string]*Round{}
 	m.versions = map[string]core.Revision{}
@@ -297,8 +302,9 @@
 		if removed || !decode(&r) {
 			return
 		}
-		t.Jobs = append(t.Jobs, id)
+		t.job(id)
 		entry := m.Jobs[id]
+		known := entry != nil
 		if entry == nil {
 			entry = &JobEntry{}
 			m.Jobs[id] = entry
@@ -308,13 +314,25 @@
 				}
 			}
 		}
-		if entry.Over() && entry.Tasks > 0 && !r.Over() {
+		if entry.Job.Over() && entry.Tasks > 0 && !r.Over() {
 			m.log.Error("a job that was over is called unfinished", "job", id)
 			return
 		}
 		entry.Job, entry.Version = r, v
-		if r.Over() {
-			entry.Spec, entry.Done = nil, core.Set{}
+		switch {
+		case r.Over():
+			entry.Spec, entry.Done, entry.needs = nil, core.Set{}, nil
+			m.settled(id, entry, t)
+		case entry.withdrawn:
+			entry.Spec = nil
+		default:
+			m.link(id, entry, t)
+			if !known {
+				// Keys are loaded in their order, not in that of the jobs.
+				for _, after := range m.dependents[id] {
+					m.inherit(after, t)
+				}
+			}
 		}
 		delete(m.versions, key) // the entry keeps its version itself
 	case strings.HasPrefix(key, rounds):
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -150,9 +150,11 @@
 // Job is the record of a job. When the job is over, Spec is dropped; what a
 // task uses stays, since tasks of a cancelled job count until they are gone.
 type Job struct {
-	Phase    JobPhase  `json:"phase"`
-	Tasks    int       `json:"tasks"`
-	At       core.Wall `json:"at,omitempty"`
+	Phase JobPhase  `json:"phase"`
+	Tasks int       `json:"tasks"`
+	At    core.Wall `json:"at,omitempty"`
+	// Ended is when the job was found to be done, for the jobs that depend on it.
+	Ended    core.Wall `json:"ended,omitempty"`
 	Team     string    `json:"team"`
 	CPUs     float64   `json:"cpus"`
 	GPUs     float64   `json:"gpus,omitempty"`
@@ -160,9 +162,9 @@
 	Spec     *api.Job  `json:"spec,omitempty"`
 }
 
-// End returns the record of the job once it is over.
-func (j Job) End(p JobPhase) Job {
-	j.Phase, j.Spec = p, nil
+// End returns the record of the job once it is over; at is when it was done.
+func (j Job) End(p JobPhase, at core.Wall) Job {
+	j.Phase, j.Spec, j.Ended = p, nil, at
 	return j
 }
 
--- a/internal/state/shelf.go
+++ b/internal/state/shelf.go
@@ -141,6 +141,7 @@
 	mirror *Mirror
 	most   int // bytes of a part
 	ops    int // parts that may still be changed
+	hard   int // parts that a transaction can have at all
 	bytes  int
 	lane   int
 	added  bool
@@ -152,7 +153,55 @@
 // goes to parts of its lane: holders have one each, and the leader has lane 0,
 // so that their releases need not wait for each other.
 func (m *Mirror) Edit(lim config.StateLimits, ops, lane int) *Edit {
-	return &Edit{mirror: m, most: min(lim.ValueBytes, partBytes) - 64, ops: ops, bytes: editBytes, lane: lane, drafts: map[[2]int]*Part{}}
+	return &Edit{mirror: m, most: min(lim.ValueBytes, partBytes) - 64, ops: ops, hard: lim.TxnOps - besideParts, bytes: editBytes, lane: lane, drafts: map[[2]int]*Part{}}
+}
+
+// besideParts is how many other changes a transaction with machines may have: a counter of
+// terms and one of arrivals, or what is done.
+const besideParts = 3
+
+// split lists the machines of a part in pieces that fit a value each. Parts that were
+// written when longer values were allowed are written in pieces once they change, all in
+// one transaction.
+func (e *Edit) split(have *Part) (pieces [][]Machine) {
+	size := e.most
+	for i := range have.Machines {
+		m := &have.Machines[i]
+		if size+m.size() > e.most {
+			pieces, size = append(pieces, nil), (&Part{}).size()
+		}
+		size += m.size()
+		last := &pieces[len(pieces)-1]
+		*last = append(*last, *m)
+	}
+	return pieces
+}
+
+// vacant finds the first part of a shelf that does not exist and is not drafted.
+func (e *Edit) vacant(shelf int) int {
+	first, step := e.lanes(shelf)
+	for k := first; ; k += step {
+		if _, ok := e.mirror.Shelf(shelf).parts[k]; !ok && e.drafts[[2]int{shelf, k}] == nil {
+			return k
+		}
+	}
+}
+
+// lanes tells which parts of a shelf are for new machines of this edit.
+func (e *Edit) lanes(shelf int) (first, step int) {
+	if shelf == PoolShelf {
+		return e.lane, len(e.mirror.Blocks) + 1
+	}
+	return 0, 1
+}
+
+// own makes the part changeable in which a machine is, and returns it, or nil.
+func (e *Edit) own(shelf int, id core.MachineID) *Part {
+	k := e.partOf(shelf, id)
+	if k < 0 || e.draft(shelf, k) == nil {
+		return nil
+	}
+	return e.drafts[[2]int{shelf, e.partOf(shelf, id)}] // it may have been split
 }
 
 // draft makes a part changeable, unless the limits forbid it.
@@ -161,18 +210,28 @@
 	if p := e.drafts[key]; p != nil {
 		return p
 	}
-	if e.ops < 1 || e.bytes < e.most {
+	pieces := [][]Machine{{}}
+	if have, ok := e.mirror.Shelf(shelf).parts[part]; ok {
+		pieces[0] = append(pieces[0], have.Record.Machines...)
+		if have.Record.size() > e.most {
+			pieces = e.split(have.Record)
+		}
+	}
+	// The pieces of one part go together, also if that is more than a transaction should
+	// have for the sake of those behind it.
+	if e.ops < 1 || e.bytes < e.most*len(pieces) || len(pieces) > 1 && len(e.order)+len(pieces) > e.hard {
 		return nil
 	}
-	p := &Part{Machines: []Machine{}}
-	if have, ok := e.mirror.Shelf(shelf).parts[part]; ok {
-		p.Machines = append(p.Machines, have.Record.Machines...)
+	for i, machines := range pieces {
+		if i > 0 {
+			key = [2]int{shelf, e.vacant(shelf)}
+		}
+		e.ops--
+		e.bytes -= e.most
+		e.drafts[key] = &Part{Machines: machines}
+		e.order = append(e.order, key)
 	}
-	e.ops--
-	e.bytes -= e.most
-	e.drafts[key] = p
-	e.order = append(e.order, key)
-	return p
+	return e.drafts[[2]int{shelf, part}]
 }
 
 // room finds a part of a shelf that can take one more machine: one that is to
@@ -184,10 +243,7 @@
 			return p
 		}
 	}
-	first, step := 0, 1
-	if shelf == PoolShelf {
-		first, step = e.lane, len(e.mirror.Blocks)+1
-	}
+	first, step := e.lanes(shelf)
 	for k := first; ; k += step {
 		if e.drafts[[2]int{shelf, k}] != nil {
 			continue
@@ -244,11 +300,7 @@
 // Set replaces a machine's record. It reports false if that does not fit into
 // the transaction.
 func (e *Edit) Set(shelf int, m Machine) bool {
-	k := e.partOf(shelf, m.ID)
-	if k < 0 {
-		return false
-	}
-	p := e.draft(shelf, k)
+	p := e.own(shelf, m.ID)
 	if p == nil {
 		return false
 	}
@@ -279,11 +331,10 @@
 
 // Remove takes a machine off a shelf.
 func (e *Edit) Remove(shelf int, id core.MachineID) bool {
-	k := e.partOf(shelf, id)
-	if k < 0 {
+	if e.partOf(shelf, id) < 0 {
 		return true
 	}
-	p := e.draft(shelf, k)
+	p := e.own(shelf, id)
 	if p == nil {
 		return false
 	}
@@ -295,8 +346,7 @@
 // Move takes a machine off one shelf and puts it, as m says, onto another:
 // both or, if the transaction is full, neither.
 func (e *Edit) Move(from, to int, m Machine) bool {
-	k := e.partOf(from, m.ID)
-	if k < 0 || e.draft(from, k) == nil {
+	if e.own(from, m.ID) == nil {
 		return false
 	}
 	// A record that is left of an earlier stay is replaced.
--- a/internal/state/shelf_test.go
+++ b/internal/state/shelf_test.go
@@ -143,3 +143,84 @@
 		t.Fatal("a machine in use was released")
 	}
 }
+
+// Parts written when values could be longer are written in pieces as soon as something on
+// them changes, whatever small transactions are left: the first change of a transaction
+// always finds room. No machine is lost or doubled meanwhile. A part that did not fit any
+// more could not be written at all: its machines were of no use to anybody.
+func TestLongPartsAreWrittenInPieces(t *testing.T) {
+	before, now := config.StateLimits{ValueBytes: 16 << 10, TxnOps: 32}, config.StateLimits{ValueBytes: 2 << 10, TxnOps: 10}
+	const fleet, blocks = 300, 5
+	m, l := newTestMirror(blocks), &ledger{versions: map[string]uint64{}}
+	where := map[core.MachineID]int{}
+	commit := func(e *Edit, lim config.StateLimits) {
+		t.Helper()
+		var txn api.Txn
+		e.Apply(&txn)
+		if len(txn.Then) > lim.TxnOps-1 {
+			t.Fatalf("%d changes in one transaction", len(txn.Then))
+		}
+		for _, c := range txn.Then {
+			if len(c.Value) > lim.ValueBytes {
+				t.Fatalf("%s has %d bytes", c.Set, len(c.Value))
+			}
+		}
+		if len(txn.Then) > 0 && !l.apply(m, txn) {
+			t.Fatal("a transaction from a fresh mirror did not apply")
+		}
+	}
+	for i := range fleet {
+		e := m.Edit(before, 5, 0)
+		e.Add(PoolShelf, made(i))
+		e.Move(PoolShelf, i%blocks, made(i))
+		commit(e, before)
+		where[made(i).ID] = i % blocks
+	}
+	long := 0
+	for n := range blocks {
+		for _, p := range m.Shelf(n).parts {
+			if p.Record.size() > now.ValueBytes {
+				long++
+			}
+		}
+	}
+	r := rand.New(rand.NewPCG(5, 5))
+	for range 600 {
+		e := m.Edit(now, 3, r.IntN(blocks+1))
+		for i := range 1 + r.IntN(4) {
+			mc := made(r.IntN(fleet))
+			mc.Up, mc.Since = true, core.Wall(r.Int64N(1<<40))
+			from, to := where[mc.ID], r.IntN(blocks+1)-1
+			switch {
+			case from != to && r.IntN(2) == 0:
+				if e.Move(from, to, mc) {
+					where[mc.ID] = to
+				}
+			case !e.Set(from, mc) && i == 0:
+				t.Fatalf("nothing can be written of %s", mc.ID)
+			}
+		}
+		commit(e, now)
+		seen := map[core.MachineID]int{}
+		for n := PoolShelf; n < blocks; n++ {
+			for mc := range m.Shelf(n).All() {
+				if seen[mc.ID]++; where[mc.ID] != n || seen[mc.ID] > 1 {
+					t.Fatalf("%s is on shelf %d, not %d, or twice", mc.ID, n, where[mc.ID])
+				}
+			}
+		}
+		if len(seen) != fleet {
+			t.Fatalf("%d machines on the shelves", len(seen))
+		}
+	}
+	for n := PoolShelf; n < blocks; n++ {
+		for k, p := range m.Shelf(n).parts {
+			if p.Record.size() > now.ValueBytes {
+				t.Errorf("part %d of shelf %d is still too long", k, n)
+			}
+		}
+	}
+	if long < blocks {
+		t.Fatalf("only %d parts were too long at first", long)
+	}
+}
