--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -227,3 +228,97 @@
 		t.Fatalf("%d tasks of a job that works again may start", n)
 	}
 }
+
+// The worker keeps a completed task in its reports until it is told to clear it. Cleared
+// before its end is durable, a holder that ends at that moment would leave nothing to tell
+// the next one, and the task would be started again.
+func TestClearOnlyOnceDurable(t *testing.T) {
+	h, m := testHolder()
+	e := &state.JobEntry{Job: state.Job{Phase: state.JobAccepted, Tasks: 2}}
+	h.Mirror.Jobs["req-1"] = e
+	h.Types = func() map[string]api.MachineType { return nil }
+	h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Tasks: 2}, slots: map[int]*slot{}, failed: map[core.MachineID]bool{}}
+	clears := func(tally uint64, cause string) (n int) {
+		h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: tally, Term: 7, Tasks: []api.TaskView{{Task: "req-1/0", Attempt: 3, State: api.TaskExited, Cause: cause}}}, true, h.Loop.Now())
+		for _, o := range h.orders(m) {
+			if o.Verb == api.VerbClear {
+				n++
+			}
+		}
+		return n
+	}
+	if clears(1, api.CauseDone) != 0 {
+		t.Fatal("cleared though nobody else knows that it is done")
+	}
+	e.Done.Add(0)
+	if clears(2, api.CauseDone) != 1 {
+		t.Fatal("durably done and not cleared")
+	}
+}
+
+// proofLoop answers the state service's side: it holds no keys and proves at once.
+type proofLoop struct{ stillLoop }
+
+func (l *proofLoop) Call(r core.Request, done func(core.Response)) {
+	body := `{"ring":1,"items":[],"events":[],"more":false}`
+	if strings.Contains(r.Path, "/watch") && !strings.Contains(r.Path, "blockMs=0") {
+		return // nothing more happens
+	}
+	done(core.Response{Status: 200, Body: []byte(body)})
+}
+
+// provenHolder is a holder whose mirror has just been proven.
+func provenHolder(t *testing.T) (*Holder, *machine, *proofLoop) {
+	t.Helper()
+	h, m := testHolder()
+	loop := &proofLoop{}
+	h.Loop, h.State = loop, state.NewClient(loop, loop, "", h.Config.StateLim, 3)
+	h.Mirror = state.NewMirror(loop, h.State, h.Log)
+	h.Mirror.Start()
+	h.Mirror.Fresh(func(bool) {})
+	if !h.Entitled() {
+		t.Fatal("no proof")
+	}
+	return h, m, loop
+}
+
+// A report kept back under the last proof is not answered after that has run out, whatever
+// woke it: that would put off the lease of tasks that may have been cancelled elsewhere.
+func TestKeptReportIsNotAnsweredWithoutProof(t *testing.T) {
+	for _, tc := range []struct {
+		later    time.Duration
+		answered bool
+	}{{time.Second, true}, {maxSilence(config.Workers{Lease: 10 * time.Second, Cancel: 35 * time.Second}) + time.Millisecond, false}} {
+		h, m, loop := provenHolder(t)
+		got, ok := 0, false
+		h.Report(&api.Report{Machine: "n-1", Addr: "x:1", Type: "t", Season: 1, Tally: 1, Term: 7}, func(_ api.ReportAnswer, yes bool) {
+			got++
+			ok = yes
+		})
+		if got != 0 {
+			t.Fatal("a report with nothing to answer was not kept back")
+		}
+		loop.now = loop.now.Add(tc.later)
+		h.flush(m)
+		if got != 1 || ok != tc.answered {
+			t.Errorf("after %s: %d answers, one that renews the lease: %v", tc.later, got, ok)
+		}
+		h.Report(&api.Report{Machine: "n-1", Addr: "x:1", Type: "t", Season: 1, Tally: 2, Term: 7}, func(_ api.ReportAnswer, yes bool) { ok = yes })
+		h.flush(m)
+		if ok != tc.answered {
+			t.Errorf("after %s a new report is answered: %v", tc.later, ok)
+		}
+	}
+}
+
+// A late copy of a report gets no answer that would count as one to its machine.
+func TestLateCopyIsNotAnswered(t *testing.T) {
+	h, m, loop := provenHolder(t)
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 9, Term: 7}, true, loop.now)
+	loop.now = loop.now.Add(8 * time.Second)
+	ok := true
+	h.Report(&api.Report{Machine: "n-1", Addr: "x:1", Type: "t", Season: 1, Tally: 4, Term: 7}, func(_ api.ReportAnswer, yes bool) { ok = yes })
+	if ok || m.answer != 0 || m.held != nil {
+		t.Fatalf("answered %v, counts as answered at %v", ok, m.answer)
+	}
+}
