--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -322,3 +322,25 @@
 		t.Fatalf("answered %v, counts as answered at %v", ok, m.answer)
 	}
 }
+
+// A machine whose reports reach nobody answers commands all the same. That alone does not
+// make it hear: starts travel in answers to reports.
+func TestMuteMachineStaysDeaf(t *testing.T) {
+	h, m := testHolder()
+	loop := h.Loop.(*stillLoop)
+	m.reported, m.deaf = loop.now.Add(time.Second), true
+	loop.now = loop.now.Add(20 * time.Second)
+	answer := func(tally uint64) *api.Report {
+		return &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: tally, Term: 7}
+	}
+	h.take(m, answer(1), false, loop.now)
+	if !m.deaf || h.ready(m) {
+		t.Fatal("it counts as hearing without a report")
+	}
+	m.reported = loop.now
+	h.take(m, answer(2), true, loop.now)
+	h.take(m, answer(3), false, loop.now)
+	if m.deaf || !h.ready(m) {
+		t.Fatal("it reports and answers, and still counts as deaf")
+	}
+}
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -363,7 +363,7 @@
 			w.State.Refuse(w.leader().name, 14*time.Second)
 			w.CutBoth("users", party(w.leader().name), 14*time.Second, false)
 		})
-		at(w, 60.5, func() { w.Users.CancelNow(4, 0) })
+		at(w, 60.5, func() { w.Users.CancelNow(100, 0) }) // also those of the leader's blocks
 		at(w, 62, func() { w.State.Outage(12 * time.Second) })
 		w.Run(70 * time.Second)
 		if len(w.Check.Broken) > 0 {
@@ -553,3 +553,55 @@
 		}
 	}
 }
+
+// A holder ends while its release of an idle machine is on the way. The next one starts
+// tasks there, which needs no record to be changed; carried out then, the release would
+// take the machine, with all that runs on it, to another block. It is conditioned on the
+// grant under which it was decided.
+func TestLateReleaseOfAFormerHolder(t *testing.T) {
+	ran := 0
+	for seed := range seeds(6) {
+		w := NewWorld(Settings(3), 4700+seed, nil)
+		w.Populate()
+		at(w, 5, func() { short(w, 100, 8) })
+		var held core.Host
+		w.State.Decide = func(from core.Host, t api.Txn) (f TxnFate) {
+			release := false
+			for _, c := range t.Then {
+				release = release || strings.HasPrefix(c.Set, "lichenstair/machines/pool/")
+			}
+			if w.Now() < 20*time.Second || held != "" || !release || t.If[0].Key == state.KeyLeader {
+				return f
+			}
+			held, f.Late = from, 9*time.Second
+			w.host(from).Restart(100 * time.Millisecond)
+			w.In(time.Second, func() { short(w, 300, 60) })
+			w.In(8500*time.Millisecond, func() {
+				for _, m := range w.Cloud.Up() {
+					ran += len(m.tasks)
+				}
+			})
+			return f
+		}
+		w.Run(60 * time.Second)
+		if len(w.Check.Broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+		}
+		if held == "" {
+			t.Fatalf("seed %d: no release was held back", seed)
+		}
+	}
+	if ran == 0 {
+		t.Fatal("nothing ran when the releases were carried out")
+	}
+}
+
+// short submits arrays of every team with tasks that take so many seconds.
+func short(w *World, n int, seconds float64) {
+	for i, team := range w.Cfg.Teams {
+		j := w.RandomJob(n + i)
+		j.Team, j.Form, j.Types, j.Zone, j.GPUs, j.OneZone, j.Scatter, j.DeadlineS = team.Name, api.FormArray, nil, nil, 0, false, false, nil
+		j.Tasks, j.CPUs, j.EstimateS, j.ImageGB, j.Spot = int(team.CPUsMax), 1, seconds, 0.1, false
+		w.Users.Submit(j)
+	}
+}
