--- a/internal/sim/meetings_test.go
+++ b/internal/sim/meetings_test.go
@@ -23,12 +23,19 @@
 	calm time.Duration
 }
 
+// plainJob makes up an array that may be anywhere and needs no GPUs.
+func plainJob(w *World, n int) api.Job {
+	j := w.RandomJob(n)
+	j.Form, j.Types, j.Zone, j.GPUs, j.OneZone, j.Scatter = api.FormArray, nil, nil, 0, false, false
+	return j
+}
+
 // busy submits jobs of long tasks for every team until all are at their limits.
 func busy(w *World, n int) {
 	for i, team := range w.Cfg.Teams {
 		for k := range 3 {
-			j := w.RandomJob(n + 10*i + k)
-			j.Team, j.Form, j.Types, j.Zone, j.GPUs, j.OneZone, j.Scatter, j.DeadlineS = team.Name, api.FormArray, nil, nil, 0, false, false, nil
+			j := plainJob(w, n+10*i+k)
+			j.Team, j.DeadlineS = team.Name, nil
 			j.Tasks, j.CPUs, j.EstimateS, j.ImageGB, j.Spot, j.Rank = int(team.CPUsMax)/3, 1, 150, 0.2, false, api.RankHigh
 			w.Users.Submit(j)
 		}
@@ -100,8 +107,8 @@
 		n := 0
 		var next func()
 		next = func() {
-			j := w.RandomJob(20000 + n)
-			j.Form, j.Tasks, j.CPUs, j.Types, j.Zone, j.GPUs, j.OneZone, j.Scatter, j.EstimateS = api.FormArray, 1, 0.5, nil, nil, 0, false, false, 6
+			j := plainJob(w, 20000+n)
+			j.Tasks, j.CPUs, j.EstimateS = 1, 0.5, 6
 			w.Users.Submit(j)
 			if n%4 == 0 {
 				w.In(time.Duration(w.between(0, 8)*float64(time.Second)), func() { w.Users.Cancel(j.ID) })
@@ -143,8 +150,8 @@
 	}, true, 0},
 	{"tasks of small jobs end far apart across changes of leader", func(w *World) {
 		for i := range 10 {
-			j := w.RandomJob(9100 + i)
-			j.Form, j.Types, j.Zone, j.GPUs, j.CPUs, j.Tasks, j.OneZone, j.Scatter, j.EstimateS = api.FormArray, nil, nil, 0, 1, 2+i%2, false, false, 70
+			j := plainJob(w, 9100+i)
+			j.CPUs, j.Tasks, j.EstimateS = 1, 2+i%2, 70
 			at(w, 20+2*float64(i), func() { w.Users.Submit(j) })
 		}
 		fault(w, 55, "leaders change again and again")
@@ -528,8 +535,8 @@
 			return f
 		}
 		for i := range 20 {
-			j := w.RandomJob(1 + i)
-			j.Form, j.Types, j.Zone, j.GPUs, j.CPUs, j.Tasks, j.OneZone, j.Scatter, j.EstimateS, j.ImageGB = api.FormArray, nil, nil, 0, 1, 1, false, false, 8, 0.1
+			j := plainJob(w, 1+i)
+			j.CPUs, j.Tasks, j.EstimateS, j.ImageGB = 1, 1, 8, 0.1
 			at(w, 5+float64(i), func() { w.Users.Submit(j) })
 		}
 		if phase == state.JobCancelled {
@@ -599,8 +606,8 @@
 // short submits arrays of every team with tasks that take so many seconds.
 func short(w *World, n int, seconds float64) {
 	for i, team := range w.Cfg.Teams {
-		j := w.RandomJob(n + i)
-		j.Team, j.Form, j.Types, j.Zone, j.GPUs, j.OneZone, j.Scatter, j.DeadlineS = team.Name, api.FormArray, nil, nil, 0, false, false, nil
+		j := plainJob(w, n+i)
+		j.Team, j.DeadlineS = team.Name, nil
 		j.Tasks, j.CPUs, j.EstimateS, j.ImageGB, j.Spot = int(team.CPUsMax), 1, seconds, 0.1, false
 		w.Users.Submit(j)
 	}
