--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -59,6 +59,7 @@
 	passing  bool // a pass is due
 	passAt   core.Time
 	awake    core.Time // since when we listen without a halt
+	lookAt   core.Time // when what waits is looked at again, though nothing has changed
 	writing  bool
 	drawing  bool
 	spare    struct { // terms in stock, to be shown to machines
@@ -79,6 +80,7 @@
 	shunTime    = 60 * time.Second
 	avoidTime   = 60 * time.Second
 	manyFails   = 8 // in a row, of a job that has completed tasks
+	lookPause   = 5 * time.Second
 	releaseIdle = 2 * time.Second
 	askPause    = 100 * time.Millisecond // between questions without answer, doubled each time
 	maxAskPause = 3 * time.Second
@@ -235,11 +237,7 @@
 	j := h.jobs[id]
 	if e.Over() {
 		if j != nil {
-			for _, i := range core.Keys(j.slots) {
-				if s := j.slots[i]; s != nil && s.state == planned {
-					h.setOff(s, "job over")
-				}
-			}
+			h.dropPlans(j)
 			delete(h.jobs, id)
 			h.Log.Info("job is over", "job", id, "phase", e.Phase)
 			h.dirty = true
@@ -276,6 +274,27 @@
 	}
 }
 
+// Cancelled takes in that a job is durably cancelled, before the mirror shows it.
+func (h *Holder) Cancelled(id core.JobID) {
+	j := h.jobs[id]
+	if h.state == released || j == nil || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	h.dropPlans(j)
+	h.dirty = true
+	h.flushReady()
+}
+
+// dropPlans takes back what is planned of a job that is over.
+func (h *Holder) dropPlans(j *job) {
+	for _, i := range core.Keys(j.slots) {
+		if s := j.slots[i]; s != nil && s.state == planned {
+			h.setOff(s, "job over")
+		}
+	}
+}
+
 // moveSlot is the one place where a slot's state changes.
 func (h *Holder) moveSlot(s *slot, to slotState) {
 	if s.state == to {
@@ -423,6 +442,9 @@
 // StoodStill tells that the process did not run for a while.
 func (h *Holder) StoodStill() { h.awake = h.Loop.Now() }
 
+// quiet is how long a machine may say nothing before it counts as silent.
+func (h *Holder) quiet() time.Duration { return max(3*h.Config.Workers.Report, 2*time.Second) }
+
 // Tick does what is due by time.
 func (h *Holder) Tick() {
 	if h.state == released {
@@ -430,7 +452,7 @@
 	}
 	now := h.Loop.Now()
 	w := h.Config.Workers
-	quiet := max(3*w.Report, 2*time.Second)
+	quiet := h.quiet()
 	sole := h.sole()
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
@@ -466,6 +488,10 @@
 	if h.state == placing {
 		h.drawTerms()
 	}
+	if now >= h.lookAt && len(h.jobs) > 0 {
+		// How long a job has waited decides as well, and time alone changes nothing else.
+		h.lookAt, h.dirty = now.Add(lookPause), true
+	}
 	h.passSoon()
 	h.flushReady()
 	h.write()
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -39,7 +39,7 @@
 }
 
 func (h *Holder) usable(m *machine) bool {
-	return m.state == live && m.fenced && !m.deaf && m.notice == 0 && !m.asked && !m.lost && m.total.CPUs > 0 &&
+	return m.state == live && m.fenced && !m.deaf && m.notice == 0 && !m.lost && m.total.CPUs > 0 &&
 		!h.unsettled(m, m.lowering) && !h.unsettled(m, m.leaving)
 }
 
@@ -69,7 +69,7 @@
 		if !h.usable(m) {
 			continue
 		}
-		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Tasks: len(m.slots), MaxTasks: placement.MaxTasks, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
+		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Asked: m.asked, Tasks: len(m.slots), MaxTasks: placement.MaxTasks, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
 		for _, s := range m.slots {
 			if s.booked() {
 				p.Releases = append(p.Releases, placement.Release{At: h.ends(s, now), Need: s.need})
@@ -99,7 +99,7 @@
 func (h *Holder) standBack(jobs []*placement.Job, machines []*placement.Machine, teams map[string]*placement.Team) {
 	free := 0.0
 	for _, m := range machines {
-		if !m.Kept {
+		if !m.Kept && !m.Asked {
 			free += m.Free().CPUs
 		}
 	}
@@ -177,7 +177,7 @@
 	for _, j := range all {
 		guaranteed := guarantees.Within(j.spec.Team, j.need.CPUs*float64(j.spec.Tasks-j.done.Len()))
 		waiting := j.waiting()
-		if waiting <= 0 || j.broken || j.holdoff > now {
+		if waiting <= 0 || j.broken || j.cancelled || j.holdoff > now {
 			if j.holdoff > now {
 				h.dirty = true
 			}
@@ -193,6 +193,14 @@
 			p.Late = len(h.Config.Aims)
 		}
 		p.Timed = guaranteed || capacity.Timed(h.Config.Aims, j.spec)
+		if j.live() > 0 {
+			j.alone = 0
+		} else if j.alone == 0 {
+			j.alone = now
+		}
+		if p.Stuck = j.alone > 0 && capacity.Stuck(now.Sub(j.alone)); p.Stuck && !j.gang() {
+			p.Waiting, p.Pressing = 1, capacity.Pressing(now.Sub(j.alone))
+		}
 		if j.probing() {
 			if !j.gang() {
 				p.Waiting = min(waiting, 1-j.live())
--- a/internal/block/preempt.go
+++ b/internal/block/preempt.go
@@ -77,7 +77,7 @@
 		}
 		left := map[core.MachineID]placement.Need{}
 		for _, m := range machines {
-			if len(picks) >= n || m.Kept && !j.Gang && !j.NoChoice || j.Avoid[m.ID] || !j.Allows(m.Type, m.Zone, m.Spot) {
+			if len(picks) >= n || m.Asked || m.Kept && !j.Gang && !j.NoChoice || j.Avoid[m.ID] || !j.Allows(m.Type, m.Zone, m.Spot) {
 				continue
 			}
 			free := room[m.ID]
@@ -122,10 +122,11 @@
 }
 
 // wanted is how many tasks of a job should run beside those that do: all of work
-// within a guarantee, else as many as it takes to be in time.
+// within a guarantee, else as many as it takes to be in time; none if a larger job of its
+// team is next. Tasks were stopped for one that could not start, again and again.
 func (h *Holder) wanted(j *placement.Job, t *placement.Team) int {
 	n := j.Waiting
-	if t == nil || n <= 0 {
+	if t == nil || n <= 0 || t.Holds(j) {
 		return 0
 	}
 	if own := h.jobs[j.ID]; !j.Gang && !j.Guaranteed && len(j.Haste.Due) > 0 {
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -126,7 +126,7 @@
 // over, or unknown to us, or has the task elsewhere.
 func (h *Holder) unwanted(s *slot) bool {
 	e, j := h.Mirror.Jobs[s.task.Job], h.jobs[s.task.Job]
-	return e == nil || e.Over() || j == nil || j.slots[s.task.Index] != s
+	return e == nil || e.Over() || j == nil || j.cancelled || j.slots[s.task.Index] != s
 }
 
 // ready tells whether starts may be sent to a machine.
@@ -216,8 +216,10 @@
 		m.recent = nil
 	}
 	m.season, m.tally, m.heard = season, tally, now
-	if !viaReport {
-		h.setDeaf(m, false) // it answered a command
+	if !viaReport && (m.reported == 0 || now.Sub(m.reported) < h.quiet()) {
+		// It answered a command. One whose reports reach nobody gets no work either: it
+		// cannot be told to start it, and was planned for again and again.
+		h.setDeaf(m, false)
 	}
 	if rep.NoticeS != nil {
 		if m.notice == 0 {
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -202,10 +202,13 @@
 	done    core.Set // known done, durable or not
 	pending core.Set // done, not yet durable
 	slots   map[int]*slot
-	cursor  int   // tasks below are or were started, or done
-	again   []int // tasks below cursor that wait again
-	broken  bool  // gang: a member is gone; the rest has to go
-	avoid   map[core.MachineID]core.Time
+	cursor  int       // tasks below are or were started, or done
+	again   []int     // tasks below cursor that wait again
+	alone   core.Time // since when none of its tasks has a place; 0: one has
+	// cancelled: another controller told so; the mirror does not show it yet.
+	cancelled bool
+	broken    bool // gang: a member is gone; the rest has to go
+	avoid     map[core.MachineID]core.Time
 	// failed holds the machines on which tasks have failed, as long as none has
 	// completed; after that the job is known to be good.
 	failed  map[core.MachineID]bool
--- a/internal/capacity/late.go
+++ b/internal/capacity/late.go
@@ -25,6 +25,22 @@
 	return !begun && time.Duration(now-at)*time.Millisecond > beginBy
 }
 
+// stuckAfter is how long a job may wait with nothing running before machines that are
+// kept for gangs are open to one of its tasks. Users count 90 s beside room that fits;
+// half of it, since a new holder does not know how long it was before.
+const stuckAfter = 45 * time.Second
+
+// pressAfter is when such an array goes first of its rank, with one task. One whose zone
+// was full stood back behind others, while a machine of another block had room.
+const pressAfter = 70 * time.Second
+
+// Pressing tells whether an array that has waited like this goes first.
+func Pressing(waited time.Duration) bool { return waited > pressAfter }
+
+// Stuck tells whether a job has waited too long, since it came or since its last task
+// left its machine, with nothing running.
+func Stuck(waited time.Duration) bool { return waited > stuckAfter }
+
 // Due lists by when an array should be complete, for each of the users' aims on its
 // completion, the one that leaves least time first: those on its deadline, if it has
 // one, else those on the time that jobs of its class may take.
--- a/internal/capacity/shapes.go
+++ b/internal/capacity/shapes.go
@@ -48,7 +48,7 @@
 	if _, ok := s.seen[k]; !ok && len(s.seen) >= maxShapes {
 		return
 	}
-	s.seen[k] = sighting{now, placement.Job{Need: k.Need, Types: spec.Types, Spot: spec.Spot}, spec.Class}
+	s.seen[k] = sighting{now, placement.JobOf("", 0, spec), spec.Class}
 }
 
 // NoChoice tells whether a job's tasks fit only on kinds that are kept.
@@ -91,10 +91,15 @@
 	return out
 }
 
-// Scarce lists the types on which a gang's tasks fit, if they do not fit on all.
+// Scarce lists the types on which a gang's tasks fit, if they do not fit on all. For a
+// gang that can never be placed nothing is scarce: it kept arrays off machines that it
+// could not use either.
 func Scarce(j *placement.Job, types map[string]api.MachineType) (fit []string) {
+	if !j.Placeable(types) {
+		return nil
+	}
 	for _, name := range core.Keys(types) {
-		if j.Need.Fits(placement.Room(types[name])) && j.Allows(name, "", false) {
+		if j.Need.Fits(placement.Room(types[name])) && j.Allows(name, j.Zone, false) {
 			fit = append(fit, name)
 		}
 	}
--- a/internal/capacity/share.go
+++ b/internal/capacity/share.go
@@ -81,7 +81,13 @@
 		if j.OneZone && j.Zone == "" {
 			j.Zone = p.zone(j, n)
 		}
-		n -= p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+		got := p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+		if got == 0 && j.Stuck && !j.Gang && !j.NoChoice {
+			j.NoChoice = true
+			got = p.claim(j, 1, func(r *room) bool { return r.block == j.Block || r.block == NoBlock })
+			j.NoChoice = false
+		}
+		n -= got
 		if n > 0 && j.Gang {
 			n -= p.claim(j, n, func(r *room) bool { return r.block == NoBlock })
 			n -= p.claim(j, n, func(r *room) bool { return r.block != j.Block && !r.used })
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -311,6 +311,7 @@
 		j.Probe, j.Running = failing[id], running[id]
 		j.Overdue = capacity.Overdue(e.At, wall, j.Running > 0 || !e.Done.Empty())
 		j.Timed = capacity.Timed(l.Config.Aims, e.Spec)
+		j.Stuck = j.Running == 0 && capacity.Stuck(time.Duration(wall-e.At)*time.Millisecond)
 		if due := capacity.Due(l.Config.Aims, e.Spec, e.At); len(due) > 0 {
 			j.Deadline = due[0]
 		}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -308,6 +308,7 @@
 		n.state.Txn(t, func(r state.Result) {
 			switch r.Outcome {
 			case state.Applied:
+				n.tellCalledOff(id)
 				reply(Answer{Status: 200, Body: api.JobStatus{ID: string(id), Phase: api.PhaseCancelled}})
 			case state.Refused, state.NoTenure:
 				reply(n.later("the state service does not take changes"))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	membership membership
 	tenure     core.Tenure
 	renewedAt  core.Time
+	registered core.Revision // of our member key
 	renewing   bool
 	ticked     core.Time // when tick last ran
 	electing   bool
@@ -59,6 +60,7 @@
 	strays    map[core.MachineID]stray
 	prober    *worker.Prober // asks strays whether they hear us
 	grants    map[int]grantSeen
+	calledOff []calledOff // confirmed here lately
 	shapes    capacity.Shapes
 	peers     map[core.Host]heard
 	broadcast func([]byte)
@@ -170,9 +172,16 @@
 				again()
 				return
 			}
-			start()
+			// The mirror has to show that the key is gone before it is made anew.
+			n.mirror.Fresh(func(bool) { start() })
 		})
 	case member:
+		if n.displaced() {
+			n.log.Info("our member key is not ours; joining anew", "tenure", n.tenure)
+			n.state.End(n.tenure, func(bool) {})
+			n.become(outside)
+			return
+		}
 		if n.renewing || n.loop.Now().Sub(n.renewedAt) < n.cfg.Operator.Tenure/4 {
 			return
 		}
@@ -192,11 +201,22 @@
 	}
 }
 
+// displaced tells whether the member key names another tenure than ours, though ours was
+// written. A registration of an earlier tenure, carried out late, had replaced it: the
+// node renewed its own for ever, nobody counted it among the live, and as a leader it
+// was deposed by everybody at once.
+func (n *Node) displaced() bool {
+	return n.mirror.Shows(n.registered) && n.mirror.Members[n.cfg.Host].Record.Tenure != n.tenure
+}
+
 func (n *Node) register(again func()) {
 	tenure := n.tenure
 	put := state.Put(state.KeyMember(n.cfg.Host), state.Member{Host: n.cfg.Host, Tenure: tenure})
 	put.Tenure = uint64(tenure)
-	t := api.Txn{Then: []api.Change{put}}
+	t := api.Txn{
+		If:   []api.Condition{{Key: put.Set, Version: uint64(n.mirror.Members[n.cfg.Host].Version)}},
+		Then: []api.Change{put},
+	}
 	n.state.TxnFirst(t, func(r state.Result) {
 		if n.tenure != tenure || n.membership != joining {
 			// The tenure was given up meanwhile. A node that took itself for a
@@ -207,6 +227,7 @@
 			again()
 			return
 		}
+		n.registered = r.Revision
 		n.become(member)
 	})
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -37,6 +37,46 @@
 	slices.SortStableFunc(b.Running, func(x, y peer.RunningHint) int { return cmp.Compare(y.Tasks, x.Tasks) })
 	b.Strays = n.strayHints()
 	n.broadcast(peer.Encode(b))
+	n.repeatCalledOff()
+}
+
+// calledOff is a cancellation that this node has made durable.
+type calledOff struct {
+	id core.JobID
+	at core.Time
+}
+
+const (
+	// repeatTime is how long peers are told of a cancellation again.
+	repeatTime   = 3 * time.Second
+	maxCalledOff = 100
+)
+
+// tellCalledOff tells the other controllers at once that a job is cancelled, durably. A
+// holder that the state service alone refuses would learn of it only afterwards, start
+// tasks of the job, and let all its workers go in time for those that it must not keep.
+// It is still a hint: without it, that time is what bounds the tasks.
+func (n *Node) tellCalledOff(id core.JobID) {
+	if len(n.calledOff) < maxCalledOff {
+		n.calledOff = append(n.calledOff, calledOff{id, n.loop.Now()})
+	}
+	n.broadcast(peer.EncodeCancelled([]core.JobID{id}))
+	for _, h := range n.holders {
+		h.Cancelled(id)
+	}
+}
+
+func (n *Node) repeatCalledOff() {
+	now := n.loop.Now()
+	n.calledOff = slices.DeleteFunc(n.calledOff, func(c calledOff) bool { return now.Sub(c.at) > repeatTime })
+	if len(n.calledOff) == 0 {
+		return
+	}
+	var ids []core.JobID
+	for _, c := range n.calledOff {
+		ids = append(ids, c.id)
+	}
+	n.broadcast(peer.EncodeCancelled(ids))
 }
 
 // shareChanges takes up what the others leave of the rate of changes.
@@ -63,6 +103,14 @@
 
 // Peer takes in a frame from another controller.
 func (n *Node) Peer(frame []byte) {
+	if ids, ok := peer.DecodeCancelled(frame); ok {
+		for _, id := range ids {
+			for _, h := range n.holders {
+				h.Cancelled(id)
+			}
+		}
+		return
+	}
 	b, ok, err := peer.Decode(frame)
 	if err != nil || !ok {
 		return
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -22,7 +22,8 @@
 	// MaxPayload bounds a frame.
 	MaxPayload = 32 << 10
 
-	kindBeat = 1
+	kindBeat      = 1
+	kindCancelled = 2
 )
 
 // Beat is what a controller tells the others, about twice a second.
@@ -70,6 +71,8 @@
 	maxIdle    = 64
 	maxRunning = 200
 	maxFailing = 200
+	// maxCancelled bounds the jobs of a frame that tells of cancellations.
+	maxCancelled = 200
 )
 
 // Encode makes a frame of a beat; what exceeds its bounds is left out.
@@ -115,11 +118,39 @@
 	for _, id := range failing {
 		p = putText(p, string(id))
 	}
-	p[0], p[1], p[2], p[3] = magic0, magic1, version, kindBeat
+	return seal(p, kindBeat)
+}
+
+// seal fills in the header of a frame.
+func seal(p []byte, kind byte) []byte {
+	p[0], p[1], p[2], p[3] = magic0, magic1, version, kind
 	binary.BigEndian.PutUint32(p[4:], uint32(len(p)-headerSize))
 	return p
 }
 
+// EncodeCancelled makes a frame that tells of jobs that are durably cancelled.
+func EncodeCancelled(ids []core.JobID) []byte {
+	p := make([]byte, headerSize, 64)
+	ids = ids[:min(len(ids), maxCancelled)]
+	p = binary.AppendUvarint(p, uint64(len(ids)))
+	for _, id := range ids {
+		p = putText(p, string(id))
+	}
+	return seal(p, kindCancelled)
+}
+
+// DecodeCancelled reads such a frame; ok is false for all others.
+func DecodeCancelled(frame []byte) (ids []core.JobID, ok bool) {
+	if len(frame) < headerSize || frame[2] != version || frame[3] != kindCancelled {
+		return nil, false
+	}
+	d := decoder{rest: frame[headerSize:]}
+	for range d.count(maxCancelled) {
+		ids = append(ids, core.JobID(d.text()))
+	}
+	return ids, !d.failed && len(d.rest) == 0
+}
+
 func putText(p []byte, s string) []byte {
 	s = s[:min(len(s), 255)]
 	return append(append(p, byte(len(s))), s...)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -82,3 +82,25 @@
 		time.Sleep(50 * time.Millisecond) // until the end of the line has been seen
 	}
 }
+
+// Cancellations travel in a kind of their own, which a version that does not know it
+// passes over as it does all unknown kinds; beats stay as they are.
+func TestCancellationsSurviveTheWire(t *testing.T) {
+	ids := []core.JobID{"req-1", "req-000398"}
+	frame, err := ReadFrame(bytes.NewReader(EncodeCancelled(ids)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, ok := DecodeCancelled(frame); !ok || !reflect.DeepEqual(got, ids) {
+		t.Fatalf("%v %v", got, ok)
+	}
+	if _, ok, err := Decode(frame); ok || err != nil {
+		t.Fatal("taken for a beat", ok, err)
+	}
+	if _, ok := DecodeCancelled(Encode(beat())); ok {
+		t.Fatal("a beat is taken for cancellations")
+	}
+	if _, ok := DecodeCancelled(frame[:len(frame)-2]); ok {
+		t.Fatal("a frame that is cut off is read")
+	}
+}
--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -59,7 +59,8 @@
 			case k.m != nil:
 				j := k.jobs[0]
 				if j.takes(m, p.beside(j)(m)) && j.ZoneAllows(m.Zone, j.Zones) {
-					if r := rate(j, m); r.better(k.r) {
+					// Equal ones are taken in the order of the machines, as a full look does.
+					if r := rate(j, m); r.better(k.r) || !k.r.better(r) && m.ID < k.m.ID {
 						k.m, k.r = m, r
 					}
 				}
@@ -82,10 +83,10 @@
 
 // kindKey is what makes jobs alike to machines. Allowed types are joined.
 type kindKey struct {
-	team, image, zone, types string
-	need                     Need
-	spot, noChoice, in       bool
-	own                      int // set for jobs that are like no others
+	team, image, zone, types  string
+	need                      Need
+	spot, noChoice, stuck, in bool
+	own                       int // set for jobs that are like no others
 }
 
 // kinds sorts waiting arrays by kind, the first in line first.
@@ -95,7 +96,7 @@
 		if j.Gang || j.Waiting <= 0 {
 			continue
 		}
-		key := kindKey{team: j.Team, image: j.Image, zone: j.Zone, need: j.Need, spot: j.Spot, noChoice: j.NoChoice, in: p.now.Add(j.Estimate) <= p.out.ReservedAt}
+		key := kindKey{team: j.Team, image: j.Image, zone: j.Zone, need: j.Need, spot: j.Spot, noChoice: j.NoChoice, stuck: j.Stuck, in: p.now.Add(j.Estimate) <= p.out.ReservedAt}
 		if j.OneZone || j.Scatter || len(j.Avoid) > 0 {
 			key.own = i + 1
 		}
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -42,6 +42,11 @@
 	// Overdue: the job has waited so long without having begun that its start
 	// goes before all else of its rank.
 	Overdue bool
+	// Stuck: it has waited for a while with nothing running. One of its tasks may have a
+	// machine that is kept for gangs or asked back, and what its team has left.
+	Stuck bool
+	// Pressing: an array has waited so for still longer; it is first of its rank.
+	Pressing bool
 	// Probe: the job has only failed so far. It takes room that is free, and holds
 	// none.
 	Probe bool
@@ -84,6 +89,23 @@
 	return j
 }
 
+// Placeable tells whether all tasks of the job could be on machines at the same time, as
+// far as zones go: those that have to be spread need two zones.
+func (j *Job) Placeable(types map[string]api.MachineType) bool {
+	if !j.Scatter || j.Tasks < 2 {
+		return true
+	}
+	zones := map[string]bool{}
+	for name, t := range types {
+		for _, zone := range t.Zones {
+			if j.Need.Fits(Room(t)) && j.Allows(name, zone, false) {
+				zones[zone] = true
+			}
+		}
+	}
+	return len(zones) > 1
+}
+
 // TopRank is above all ranks that users can state.
 const TopRank = 4
 
@@ -100,7 +122,8 @@
 	return 0
 }
 
-// Sort puts jobs into the order in which they are served: by rank, those that
+// Sort puts jobs into the order in which they are served: by rank, those that have
+// waited too long with nothing running, those that
 // can still be in time before those that cannot, those with a time before those that
 // nobody waits for, work within a guarantee before borrowed, then the oldest first.
 func Sort(jobs []*Job) {
@@ -111,6 +134,8 @@
 			return x.Rank > y.Rank
 		case x.Overdue != y.Overdue:
 			return x.Overdue
+		case x.Pressing != y.Pressing:
+			return x.Pressing
 		case x.Late != y.Late:
 			return x.Late < y.Late
 		case x.Timed != y.Timed:
@@ -152,8 +177,13 @@
 	return true
 }
 
+// passes tells whether the job may use what its team has left although a larger one that
+// does not fit into it is next. One task of a job that has nothing running delays that
+// one by little; a gang of several, by as much as it takes, so not if it is overdue.
+func (j *Job) passes(next *Job) bool { return j.Stuck && (!j.Gang || j.Tasks == 1 || !next.Overdue) }
+
 // takes tells whether one more task of an array could be on a machine, its zones
 // aside.
 func (j *Job) takes(m *Machine, free Need) bool {
-	return !m.full(1) && (!m.Kept || j.NoChoice) && j.Need.Fits(free) && j.Allows(m.Type, m.Zone, m.Spot) && !j.Avoid[m.ID]
+	return !m.full(1) && (!m.Kept || j.NoChoice || j.Stuck) && (!m.Asked || j.Stuck) && j.Need.Fits(free) && j.Allows(m.Type, m.Zone, m.Spot) && !j.Avoid[m.ID]
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,6 +38,8 @@
 	MaxTasks int
 	// Kept: the machine is kept for gangs, which do not fit elsewhere.
 	Kept bool
+	// Asked: the machine is asked back and goes once it is empty.
+	Asked bool
 	// Shunned: the machine has failed tasks lately; it is taken last.
 	Shunned bool
 }
@@ -51,11 +53,14 @@
 // Team is what a team uses and may use.
 type Team struct {
 	Used, Max Need
-	// full: a job was skipped because of the limit. What the team has left is
-	// for that job; later ones must not take it away bit by bit.
-	full bool
+	// next was skipped because of the limit. What the team has left is for that job;
+	// later ones must not take it away bit by bit.
+	next *Job
 }
 
+// Holds tells whether what the team has left is not for a job, since a larger one is next.
+func (t *Team) Holds(j *Job) bool { return t.next != nil && t.next != j && !j.passes(t.next) }
+
 // Start is a task of a job to be started on a machine.
 type Start struct {
 	Job     core.JobID
@@ -167,11 +172,16 @@
 
 func (p *pass) teamHasRoom(j *Job, tasks int) bool {
 	t := p.teams[j.Team]
-	if t == nil || t.full {
+	if t == nil {
+		return false
+	}
+	if t.Holds(j) {
 		return false
 	}
 	if !t.Used.Plus(j.Need.Times(float64(tasks))).FitsCounts(t.Max) {
-		t.full = true
+		if t.next == nil {
+			t.next = j
+		}
 		return false
 	}
 	return true
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -1,11 +1,15 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"lichenstair/api"
 	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
 )
 
 // Settings returns settings for a made-up deployment with n controllers. It is
@@ -296,6 +300,68 @@
 			}
 		}
 	},
+	"late writes": func(w *World) {
+		w.State.LateWrites = w.between(0.1, 0.5)
+		w.In(30*time.Second, func() { w.State.LateWrites = 0 })
+	},
+	"answers to writes lost": func(w *World) {
+		w.State.LostWrites = w.between(0.1, 0.5)
+		w.In(30*time.Second, func() { w.State.LostWrites = 0 })
+	},
+	"reports kept for the next leader": func(w *World) {
+		w.KeepReports()
+		w.In(time.Duration(w.between(0.5, 20)*float64(time.Second)), func() { w.leader().Restart(3 * time.Second) })
+	},
+	"machines mute": func(w *World) {
+		for _, m := range w.some(1 + w.Rand.IntN(3)) {
+			w.Mute(m, time.Duration(w.between(5, 60)*float64(time.Second)))
+		}
+	},
+	"machines deaf": func(w *World) {
+		for _, m := range w.some(1 + w.Rand.IntN(3)) {
+			w.Deaf(m, time.Duration(w.between(5, 60)*float64(time.Second)))
+		}
+	},
+	"leader alone with workers and users": func(w *World) { w.Alone(w.leader(), w.cutTime()) },
+	"leader refused, then everybody": func(w *World) {
+		w.State.Refuse(w.leader().name, 14*time.Second)
+		w.In(time.Duration(w.between(0.5, 3)*float64(time.Second)), func() { w.State.Outage(w.Cfg.Workers.Cancel + time.Duration(w.between(2, 20)*float64(time.Second))) })
+	},
+	"a zone with a controller cut off": func(w *World) {
+		w.Inside(w.anyHost(), w.Cfg.Zones[w.Rand.IntN(len(w.Cfg.Zones))], w.Cfg.Workers.Lease+w.cutTime())
+	},
+	"all away for longer than a lease": func(w *World) {
+		for _, h := range w.Hosts {
+			h.Restart(w.Cfg.Workers.Lease + time.Duration(w.between(1, 12)*float64(time.Second)))
+		}
+	},
+	"leaders change again and again": func(w *World) {
+		for i := range 10 {
+			w.In(time.Duration(i)*12*time.Second, func() { w.leader().Restart(time.Duration(w.between(0.05, 4) * float64(time.Second))) })
+		}
+	},
+	"commands held up": func(w *World) {
+		for _, m := range w.some(3) {
+			for _, h := range w.Hosts {
+				w.CutBoth(party(h.name), party(m.addr), time.Duration(w.between(1, 9)*float64(time.Second)), true)
+			}
+		}
+	},
+	"cancel now":                func(w *World) { w.Users.CancelNow(6, 0) },
+	"cancel now, machines hang": func(w *World) { w.Users.CancelNow(6, time.Duration(w.between(3, 11)*float64(time.Second))) },
+	"cancelled as it ends": func(w *World) {
+		w.CancelAtEnd = 0.3
+		w.In(40*time.Second, func() { w.CancelAtEnd = 0 })
+	},
+	"odd requests": func(w *World) {
+		for i := range 20 {
+			w.In(time.Duration(i)*time.Second, w.Users.Odd)
+		}
+	},
+	"close looks": func(w *World) {
+		w.Users.CloseLooks = true
+		w.In(40*time.Second, func() { w.Users.CloseLooks = false })
+	},
 	"machines that never come up": func(w *World) {
 		w.Cloud.BootFail = 0.5
 		w.In(40*time.Second, func() { w.Cloud.BootFail = 0 })
@@ -332,3 +398,74 @@
 	}
 	return up[w.Rand.IntN(len(up))]
 }
+
+// watchRoom tells the checker, every few seconds, which jobs wait beside room for one of
+// their tasks. Gangs of several tasks are left out: room for one of them is not enough.
+func (w *World) watchRoom() {
+	w.In(5*time.Second, w.watchRoom)
+	up := w.Cloud.Up()
+	free := make([]placement.Need, len(up))
+	for i, m := range up {
+		free[i] = m.free()
+	}
+	for _, id := range core.Keys(w.Users.jobs) {
+		j := &w.Users.jobs[id].spec
+		var machines []string
+		if (j.Form != api.FormGang || j.Tasks == 1) && w.Check.Under(j.Team, j.CPUs, j.GPUs) {
+			for i, m := range up {
+				if m.notice == 0 && !m.Faulty && w.now >= m.hung && m.allowed(j) && (placement.Need{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}).Fits(free[i]) {
+					machines = append(machines, m.ID)
+				}
+			}
+		}
+		w.Check.Room(id, machines)
+	}
+}
+
+// Mute keeps a machine from reaching any controller, while direct commands reach it and
+// are answered.
+func (w *World) Mute(m *Machine, d time.Duration) { m.mute = max(m.mute, w.now+d) }
+
+// Deaf loses the answers and commands to a machine, while its reports arrive.
+func (w *World) Deaf(m *Machine, d time.Duration) { w.Cut("", party(m.addr), d, false) }
+
+// Alone cuts a controller from the state service and the other controllers, but not from
+// workers and users.
+func (w *World) Alone(h *Host, d time.Duration) {
+	w.CutBoth(party(h.name), "state", d, false)
+	for _, o := range w.Hosts {
+		if o != h {
+			w.CutBoth(party(h.name), party(o.name), d, false)
+		}
+	}
+}
+
+// Inside cuts a zone's machines and one controller from everything else; they still reach
+// each other.
+func (w *World) Inside(h *Host, zone string, d time.Duration) {
+	w.Alone(h, d)
+	w.CutBoth(party(h.name), "users", d, false)
+	w.CutBoth(party(h.name), "cloud", d, false)
+	for _, m := range w.Cloud.Up() {
+		for _, o := range w.Hosts {
+			if (o == h) != (m.zone == zone) {
+				w.CutBoth(party(m.addr), party(o.name), d, false)
+			}
+		}
+	}
+}
+
+// some returns up to n machines that are up, those with tasks first.
+func (w *World) some(n int) []*Machine {
+	up := w.Cloud.Up()
+	slices.SortStableFunc(up, func(a, b *Machine) int { return cmp.Compare(len(b.tasks), len(a.tasks)) })
+	return up[:min(n, len(up))]
+}
+
+// leader returns the controller that leads, or any.
+func (w *World) leader() *Host {
+	if h := w.State.Leader(); h != nil {
+		return h
+	}
+	return w.anyHost()
+}
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -10,6 +10,7 @@
 
 	"lichenstair/api"
 	"lichenstair/internal/core"
+	"lichenstair/internal/state"
 )
 
 // StateService is a stand-in for the state service.
@@ -29,6 +30,52 @@
 	writes   limit
 	Refusals int
 	Lose     float64 // share of answers that are lost after the work was done
+	// LateWrites is the share of transactions that get no answer and are carried out
+	// 2 to 12 s later, after newer ones.
+	LateWrites float64
+	// LostWrites is the share of transactions that are carried out at once and whose
+	// answer alone is lost.
+	LostWrites float64
+	// Decide, if set, says what becomes of each transaction, so that a test can place a
+	// trouble at an exact step.
+	Decide func(from core.Host, t api.Txn) TxnFate
+	// Led, if set, is told when a controller becomes the leader.
+	Led func(h core.Host)
+}
+
+// TxnFate is what becomes of a transaction.
+type TxnFate struct {
+	Late time.Duration // carried out that much later, without an answer
+	Lost bool          // carried out at once; the answer is lost
+	Hold time.Duration // the answer takes that long
+}
+
+// fate draws or asks what becomes of a transaction.
+func (s *StateService) fate(from party, body []byte) (f TxnFate) {
+	if s.LateWrites > 0 && s.w.chance(s.LateWrites) {
+		f.Late = time.Duration(s.w.between(2, 12) * float64(time.Second))
+	}
+	if s.LostWrites > 0 && s.w.chance(s.LostWrites) {
+		f.Lost = true
+	}
+	if s.Decide != nil {
+		var t api.Txn
+		if json.Unmarshal(body, &t) == nil {
+			f = s.Decide(core.Host(from), t)
+		}
+	}
+	return f
+}
+
+// Leader returns the controller that the leader's key names, or nil.
+func (s *StateService) Leader() *Host {
+	e := s.keys[state.KeyLeader]
+	if e == nil {
+		return nil
+	}
+	var l state.Leader
+	_ = json.Unmarshal(e.value, &l)
+	return s.w.host(l.Host)
 }
 
 type entry struct {
@@ -137,6 +184,18 @@
 	}
 	switch {
 	case path == "/txn":
+		f := s.fate(from, r.Body)
+		if f.Late > 0 {
+			s.w.At(max(s.w.now+f.Late, s.down), func() { s.txn(r.Body, func(core.Response) {}) })
+			return
+		}
+		if f.Lost {
+			send = func(core.Response) {}
+		}
+		if f.Hold > 0 {
+			prompt := send
+			send = func(res core.Response) { s.w.In(f.Hold, func() { prompt(res) }) }
+		}
 		s.txn(r.Body, send)
 	case path == "/store":
 		s.page(q, send)
@@ -260,6 +319,9 @@
 			}
 			s.keys[c.Set] = &entry{c.Value, s.ring, c.Tenure}
 			s.log = append(s.log, api.Event{Set: c.Set, Value: c.Value, Version: s.ring})
+			if c.Set == state.KeyLeader && s.Led != nil {
+				s.Led(s.Leader().name)
+			}
 		}
 		if over := len(s.log) - keptEvents; over > 0 {
 			s.floor = s.log[over-1].Version
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -65,6 +65,14 @@
 	// LateReports is the share of reports of which a copy comes later, from
 	// seconds to several leases.
 	LateReports float64
+	// SlowLinks is how much longer a message takes, at most.
+	SlowLinks time.Duration
+	// CancelAtEnd is the share of the jobs that end which their users call off at that
+	// very moment.
+	CancelAtEnd float64
+	// keeping: a copy of one report of each machine is kept, see KeepReports.
+	keeping bool
+	kept    map[party]core.Request
 
 	now    Clock
 	seq    uint64
@@ -164,6 +172,9 @@
 	if w.chance(0.001) {
 		delay += 200 * time.Millisecond // a lost packet, sent again
 	}
+	if w.SlowLinks > 0 {
+		delay += time.Duration(w.Rand.Float64() * float64(w.SlowLinks))
+	}
 	at := w.now + delay
 	live := w.cuts[:0]
 	lost := false
@@ -239,6 +250,11 @@
 			w.again(from, r, w.between(2, 4*w.Cfg.Workers.Lease.Seconds()))
 		}
 	}
+	if w.keeping && r.Path == "/hello" {
+		if _, ok := w.kept[from]; !ok {
+			w.kept[from] = r
+		}
+	}
 	if w.Repeat > 0 && r.Path != "/watch" && w.chance(w.Repeat) {
 		w.again(from, r, w.between(0.01, 150))
 	}
@@ -254,6 +270,34 @@
 	})
 }
 
+// KeepReports keeps a copy of the next report of each machine. As soon as there is a new
+// leader, all of them reach every controller.
+func (w *World) KeepReports() {
+	w.keeping, w.kept = true, map[party]core.Request{}
+	w.State.Led = func(core.Host) {
+		if !w.keeping {
+			return
+		}
+		w.keeping = false
+		for _, from := range core.Keys(w.kept) {
+			for _, h := range w.Hosts {
+				r := w.kept[from]
+				r.Addr = h.addr
+				w.again(from, r, w.between(0.05, 1.5))
+			}
+		}
+	}
+}
+
+func (w *World) host(name core.Host) *Host {
+	for _, h := range w.Hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
 func (w *World) route(addr string) (party, handler) {
 	switch addr {
 	case w.Cfg.State:
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -396,13 +396,16 @@
 // Complete tells whether the mirror has once held every key.
 func (m *Mirror) Complete() bool { return m.complete }
 
+// Shows tells whether the mirror shows everything up to a revision.
+func (m *Mirror) Shows(r core.Revision) bool { return m.complete && m.ring >= r }
+
 // Contact returns a time up to which the mirror is known to show everything.
 func (m *Mirror) Contact() (core.Time, bool) { return m.fresh, m.hasFresh }
 
 // Await calls done(true) once the mirror has reached a revision, or done(false)
 // when that takes too long.
 func (m *Mirror) Await(ring core.Revision, done func(bool)) {
-	if m.complete && m.ring >= ring {
+	if m.Shows(ring) {
 		done(true)
 		return
 	}
@@ -417,7 +420,7 @@
 	keep := m.awaiting[:0:0]
 	for _, a := range m.awaiting {
 		switch {
-		case m.complete && m.ring >= a.ring:
+		case m.Shows(a.ring):
 			ready = append(ready, func() { a.done(true) })
 		case now >= a.due:
 			ready = append(ready, func() { a.done(false) })
