--- /dev/null
+++ b/internal/config/settingspb/doc.go
@@ -0,0 +1,3 @@
+// Package settingspb is the generated code of settings.proto, the schema of the
+// operators' settings file.
+package settingspb
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -102,7 +102,6 @@
 	after  uint64
 	due    Clock
 	reply  func(core.Response)
-	over   bool
 }
 
 type limit struct {
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -65,7 +65,6 @@
 	cause string
 	saved bool
 	job   *api.Job
-	stop  bool
 	gang  *gang
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -84,7 +84,6 @@
 	cuts   []*cut
 	gangs  map[gangKey]*gang
 	done   map[core.TaskID]bool
-	slowMS float64
 }
 
 // Epoch is the time of day at which worlds begin.
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The one test command: format, vet, build as deployed, tests with fixed seeds.
+# The one test command: format, vet, linter, build as deployed, tests with fixed seeds.
 set -euo pipefail
 cd "$(dirname "$0")"
 command -v go >/dev/null || export PATH="$PATH:/usr/local/go/bin"
@@ -11,8 +11,9 @@
   echo "not formatted: $unformatted" >&2
   exit 1
 fi
-go vet ./...
 go mod verify
+go vet ./...
+go tool staticcheck ./...
 go build -ldflags=-linkmode=external -o target/lichenstair ./cmd/lichenstair
 ldd target/lichenstair | grep -q 'libc\.so' || { echo "not linked against the system's C library" >&2; exit 1; }
 go test -count=1 ./...
