A repeated submission is answered by the job's state, whatever it carries

Answers to new jobs with dependencies and to batches that were settled late had no time after which they are too old.

--- a/api/parse.go
+++ b/api/parse.go
@@ -18,7 +18,8 @@
 
 const maxName = 200
 
-const fieldDependencies = "roots"
+// FieldDependencies is the name on the wire of the list of jobs that a job depends on.
+const FieldDependencies = "roots"
 
 var jobID = regexp.MustCompile(`^req-[0-9]{1,40}$`)
 
@@ -33,7 +34,9 @@
 var errNotObject = errors.New("not a JSON object")
 
 // ParseJob reads a submission strictly: every field must have its type, those
-// that may not be null must be there, and amounts must make sense.
+// that may not be null must be there, and amounts must make sense. What comes with an
+// error has nothing but its ID, if that is valid: a malformed submission may repeat one
+// that was accepted.
 func ParseJob(body []byte) (Job, error) {
 	if len(body) > MaxBody {
 		return Job{}, errors.New("body too large")
@@ -67,26 +70,34 @@
 		d := p.amount("ripeS")
 		j.DeadlineS = &d
 	}
-	if p.present(fieldDependencies) {
-		j.Dependencies = p.ids(fieldDependencies)
+	if p.present(FieldDependencies) {
+		j.Dependencies = p.ids(FieldDependencies)
 	}
-	switch {
-	case p.err != nil:
+	if !ValidJobID(j.ID) {
+		p.fail("uid", "not in the form of a job id")
 		return Job{}, p.err
-	case !ValidJobID(j.ID):
-		return Job{}, &FieldError{"uid", "not in the form of a job id"}
+	}
+	j.check(&p)
+	if p.err != nil {
+		return Job{ID: j.ID}, p.err
+	}
+	return j, nil
+}
+
+// check refuses values that have their type but make no sense.
+func (j *Job) check(p *parser) {
+	switch {
 	case slices.Contains(j.Dependencies, j.ID):
-		return Job{}, &FieldError{fieldDependencies, "names the job itself"}
+		p.fail(FieldDependencies, "names the job itself")
 	case j.Form != FormArray && j.Form != FormGang && j.Form != FormService:
-		return Job{}, &FieldError{"form", "unknown"}
+		p.fail("form", "unknown")
 	case j.Rank != RankProduction && j.Rank != RankHigh && j.Rank != RankStandard && j.Rank != RankBestEffort:
-		return Job{}, &FieldError{"rank", "unknown"}
+		p.fail("rank", "unknown")
 	case j.Tasks < 1 || j.Tasks > MaxTasks:
-		return Job{}, &FieldError{"spores", fmt.Sprintf("must be from 1 to %d", MaxTasks)}
+		p.fail("spores", fmt.Sprintf("must be from 1 to %d", MaxTasks))
 	case j.CPUs == 0:
-		return Job{}, &FieldError{"cpus", "must be positive"}
+		p.fail("cpus", "must be positive")
 	}
-	return j, nil
 }
 
 type parser struct {
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -28,7 +28,7 @@
 	State   *state.Client
 	Workers *worker.Client
 	Types   func() map[string]api.MachineType
-	Kept    func() map[capacity.Kind]bool
+	Kept    func() capacity.KeptKinds
 	Policy  placement.Policy
 }
 
@@ -55,6 +55,7 @@
 
 	machines map[core.MachineID]*machine
 	jobs     map[core.JobID]*job
+	teams    map[string]*placement.Team // as the last pass left them
 	dirty    bool
 	passing  bool // a pass is due
 	passAt   core.Time
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -69,10 +69,16 @@
 		if !h.usable(m) {
 			continue
 		}
-		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Asked: m.asked, Tasks: len(m.slots), MaxTasks: placement.MaxTasks, Kept: kept[capacity.Kind{Type: m.typ, Spot: m.spot}]}
+		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Asked: m.asked, Tasks: len(m.slots), MaxTasks: placement.MaxTasks}
+		m.room.note(now, p.Free())
+		p.LastingRoom = m.room.least()
+		p.KeptFor, p.Kept = kept[capacity.Kind{Type: m.typ, Spot: m.spot}]
 		for _, s := range m.slots {
 			if s.booked() {
 				p.Releases = append(p.Releases, placement.Release{At: h.ends(s, now), Need: s.need})
+				if j := h.jobs[s.task.Job]; j == nil || !j.gang() {
+					p.ByArrays = p.ByArrays.Plus(s.need)
+				}
 			}
 		}
 		machines = append(machines, p)
@@ -82,6 +88,7 @@
 		j.NoChoice = capacity.NoChoice(j, types, kept)
 	}
 	res := placement.Pass(now, machines, jobs, teams, h.Policy)
+	h.teams = teams
 	h.preempt(now, jobs, machines, teams)
 	for _, st := range res.Starts {
 		h.plan(h.jobs[st.Job], h.machines[st.Machine])
@@ -132,17 +139,14 @@
 
 // keptNow lists the kinds of machine that arrays must leave alone: those always
 // kept for gangs, and those that a gang waits for now.
-func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) map[capacity.Kind]bool {
+func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) capacity.KeptKinds {
 	kept := h.Kept()
 	for _, j := range jobs {
 		if !j.Gang || j.Probe {
 			continue
 		}
 		for _, name := range capacity.Scarce(j, types) {
-			kept[capacity.Kind{Type: name}] = true
-			if j.Spot {
-				kept[capacity.Kind{Type: name, Spot: true}] = true
-			}
+			kept.Add(name, j)
 		}
 	}
 	return kept
@@ -202,8 +206,11 @@
 		} else if j.alone == 0 {
 			j.alone = now
 		}
-		if p.Stuck = j.alone > 0 && capacity.Stuck(now.Sub(j.alone)); p.Stuck && !j.gang() {
-			p.Waiting, p.Pressing = 1, capacity.Pressing(now.Sub(j.alone))
+		if j.alone > 0 {
+			p.Starvation = capacity.StarvationAfter(now.Sub(j.alone))
+		}
+		if p.Starvation != placement.NotStarving && !j.gang() {
+			p.Waiting = 1
 		}
 		if j.probing() {
 			if !j.gang() {
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -114,6 +114,7 @@
 	slots     map[slotKey]*slot
 	sorted    []*slot // what list returns, as long as no slot comes or goes
 	held      *held   // a report that waits for its answer
+	room      lastingRoom
 }
 
 // held is a report whose answer is kept back for a moment: a worker with
--- a/internal/block/write.go
+++ b/internal/block/write.go
@@ -127,13 +127,24 @@
 		return true // whoever waits cannot use it as it is
 	}
 	for _, j := range h.jobs {
-		if j.waiting() > 0 && h.allows(j, m) {
+		if j.waiting() > 0 && h.allows(j, m) && h.underLimit(j) {
 			return false
 		}
 	}
 	return true
 }
 
+// underLimit tells whether the limit of a job's team leaves room for what would start of it.
+// Machines stood idle in a block for the sake of a job whose team was at its limit.
+func (h *Holder) underLimit(j *job) bool {
+	tasks := 1
+	if j.gang() {
+		tasks = j.spec.Tasks
+	}
+	team := h.teams[j.spec.Team]
+	return team != nil && team.Allows(j.need.Times(float64(tasks)))
+}
+
 func (h *Holder) allows(j *job, m *machine) bool {
 	p := placement.JobOf(j.id, j.at, j.spec)
 	return p.Allows(m.typ, m.zone, m.spot) && j.need.Fits(m.total)
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -57,7 +57,7 @@
 	Machines []*Machine
 	Types    map[string]api.MachineType
 	TeamMax  map[string]float64
-	Kept     map[Kind]bool
+	Kept     KeptKinds
 	Closed   map[Offer]bool // kinds that were refused lately
 	Idle     time.Duration
 	// Keep is how much should stay although nobody claims it now, since so
@@ -115,7 +115,7 @@
 		if !ok || m.Doubtful {
 			continue
 		}
-		p.rooms = append(p.rooms, &room{m: m, free: placement.Room(t), block: m.Block, kept: in.Kept[Kind{m.Type, m.Spot}]})
+		p.rooms = append(p.rooms, &room{m: m, free: placement.Room(t), block: m.Block, kept: in.Kept.Has(Kind{m.Type, m.Spot})})
 	}
 	sort.SliceStable(p.rooms, func(a, b int) bool {
 		x, y := p.rooms[a], p.rooms[b]
--- a/internal/capacity/late.go
+++ b/internal/capacity/late.go
@@ -8,6 +8,7 @@
 	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
 )
 
 const (
@@ -25,21 +26,26 @@
 	return !begun && time.Duration(now-at)*time.Millisecond > beginBy
 }
 
-// stuckAfter is how long a job may wait with nothing running before machines that are
-// kept for gangs are open to one of its tasks. Users count 90 s beside room that fits;
-// half of it, since a new holder does not know how long it was before.
-const stuckAfter = 45 * time.Second
-
-// pressAfter is when such an array goes first of its rank, with one task. One whose zone
-// was full stood back behind others, while a machine of another block had room.
-const pressAfter = 70 * time.Second
-
-// Pressing tells whether an array that has waited like this goes first.
-func Pressing(waited time.Duration) bool { return waited > pressAfter }
+const (
+	// starvingAfter is how long a job may wait with nothing running before one of its
+	// tasks may take room that nobody else can use.
+	starvingAfter = 45 * time.Second
+	// starvedAfter is when one of its tasks may take any room. Users count 90 s beside a
+	// machine with room; what is left is for a new holder to find its machines.
+	starvedAfter = 70 * time.Second
+)
 
-// Stuck tells whether a job has waited too long, since it came or since its last task
-// left its machine, with nothing running.
-func Stuck(waited time.Duration) bool { return waited > stuckAfter }
+// StarvationAfter is the starvation of a job that has waited for a time, since it could
+// run or since its last task left its machine, with nothing running.
+func StarvationAfter(waited time.Duration) placement.Starvation {
+	switch {
+	case waited > starvedAfter:
+		return placement.Starved
+	case waited > starvingAfter:
+		return placement.Starving
+	}
+	return placement.NotStarving
+}
 
 // Due lists by when an array should be complete, for each of the users' aims on its
 // completion, the one that leaves least time first: those on its deadline, if it has
--- a/internal/capacity/rent.go
+++ b/internal/capacity/rent.go
@@ -36,7 +36,7 @@
 	}
 	sort.SliceStable(idle, func(a, b int) bool { return cost(idle[a]) > cost(idle[b]) })
 	for _, r := range idle {
-		if p.in.Kept[Kind{r.m.Type, r.m.Spot}] {
+		if p.in.Kept.Has(Kind{r.m.Type, r.m.Spot}) {
 			if have.Kept-1 < p.plan.Want.Kept+p.spare(r.m.Type) {
 				continue
 			}
@@ -95,7 +95,7 @@
 		t := p.in.Types[name]
 		for _, zone := range t.Zones {
 			o := Offer{name, zone, true}
-			if c := t.SpotPrice / t.CPUs; c < cost-1e-9 && !p.in.Closed[o] && !p.in.Kept[Kind{name, true}] && have+t.CPUs/2 < p.in.Keep.Spot {
+			if c := t.SpotPrice / t.CPUs; c < cost-1e-9 && !p.in.Closed[o] && !p.in.Kept.Has(Kind{name, true}) && have+t.CPUs/2 < p.in.Keep.Spot {
 				best, cost = o, c
 			}
 		}
@@ -247,7 +247,7 @@
 	for i := range count {
 		r := &room{
 			m:    &Machine{ID: core.MachineID("rented" + string(rune('0'+i))), Type: best.o.Type, Zone: best.o.Zone, Spot: best.o.Spot, Block: j.Block},
-			free: placement.Room(t), block: j.Block, kept: p.in.Kept[Kind{best.o.Type, best.o.Spot}],
+			free: placement.Room(t), block: j.Block, kept: p.in.Kept.Has(Kind{best.o.Type, best.o.Spot}),
 		}
 		p.rooms = append(p.rooms, r)
 	}
--- a/internal/capacity/shapes.go
+++ b/internal/capacity/shapes.go
@@ -52,10 +52,10 @@
 }
 
 // NoChoice tells whether a job's tasks fit only on kinds that are kept.
-func NoChoice(j *placement.Job, types map[string]api.MachineType, kept map[Kind]bool) bool {
+func NoChoice(j *placement.Job, types map[string]api.MachineType, kept KeptKinds) bool {
 	for name, t := range types {
 		if j.Need.Fits(placement.Room(t)) && j.Allows(name, j.Zone, false) &&
-			(!kept[Kind{name, false}] || j.Spot && !kept[Kind{name, true}]) {
+			(!kept.Has(Kind{name, false}) || j.Spot && !kept.Has(Kind{name, true})) {
 			return false
 		}
 	}
@@ -68,11 +68,33 @@
 	Spot bool
 }
 
+// KeptKinds maps each kind of machine that is kept for gangs to the largest need of a
+// task of those gangs.
+type KeptKinds map[Kind]placement.Need
+
+// Has tells whether a kind is kept for gangs.
+func (k KeptKinds) Has(kind Kind) bool {
+	_, ok := k[kind]
+	return ok
+}
+
+// Add notes that a gang wants machines of a type, spot machines too if it may use them.
+func (k KeptKinds) Add(typ string, gang *placement.Job) {
+	kinds := []Kind{{typ, false}}
+	if gang.Spot {
+		kinds = append(kinds, Kind{typ, true})
+	}
+	for _, kind := range kinds {
+		have := k[kind]
+		k[kind] = placement.Need{CPUs: max(have.CPUs, gang.Need.CPUs), GPUs: max(have.GPUs, gang.Need.GPUs), MemoryGB: max(have.MemoryGB, gang.Need.MemoryGB)}
+	}
+}
+
 // Kept lists the kinds of machine that are kept for gangs: a gang that came
 // lately fits there, does not fit on some other type that arrays can use, and
 // cannot wait until one boots.
-func (s *Shapes) Kept(now core.Time, aims []config.Aim, types map[string]api.MachineType) map[Kind]bool {
-	out := map[Kind]bool{}
+func (s *Shapes) Kept(now core.Time, aims []config.Aim, types map[string]api.MachineType) KeptKinds {
+	out := KeptKinds{}
 	for k, seen := range s.seen {
 		if now.Sub(seen.at) > remembered {
 			delete(s.seen, k)
@@ -82,10 +104,7 @@
 			if canWait(aims, seen.class, 2*core.Seconds(types[name].BootS)) {
 				continue
 			}
-			out[Kind{name, false}] = true
-			if k.Spot {
-				out[Kind{name, true}] = true
-			}
+			out.Add(name, &seen.job)
 		}
 	}
 	return out
--- a/internal/capacity/share.go
+++ b/internal/capacity/share.go
@@ -104,9 +104,9 @@
 			j.Zone = p.zone(j, n)
 		}
 		got := p.claim(j, n, func(r *room) bool { return r.block == j.Block })
-		if got == 0 && j.Stuck && !j.Gang && !j.NoChoice {
+		if got == 0 && j.Starvation == placement.Starved && !j.Gang && !j.NoChoice {
 			j.NoChoice = true
-			got = p.claim(j, 1, func(r *room) bool { return r.block == j.Block || r.block == NoBlock })
+			got = p.claim(j, 1, func(r *room) bool { return r.block == j.Block || r.block == NoBlock && r.m.Free >= starvedAfter/2 })
 			j.NoChoice = false
 		}
 		n -= got
@@ -223,7 +223,7 @@
 
 // keeps tells whether a kind of machine is kept from an array for gangs.
 func (p *planner) keeps(j *Job, typ string, spot bool) bool {
-	return !j.Gang && p.in.Kept[Kind{typ, spot}] && !j.NoChoice
+	return !j.Gang && p.in.Kept.Has(Kind{typ, spot}) && !j.NoChoice
 }
 
 // claim takes room for up to n tasks on machines that suit, and tells how many.
--- a/internal/capacity/trend.go
+++ b/internal/capacity/trend.go
@@ -58,7 +58,7 @@
 
 // Arrivals takes in the unfinished jobs: those seen for the first time count.
 // Of gangs, those for which machines are kept do.
-func (t *Trend) Arrivals(now core.Time, jobs []*Job, kept map[Kind]bool, types map[string]api.MachineType) {
+func (t *Trend) Arrivals(now core.Time, jobs []*Job, kept KeptKinds, types map[string]api.MachineType) {
 	seen := map[core.JobID]bool{}
 	last := t.arrival
 	for _, j := range jobs {
@@ -66,7 +66,7 @@
 		if t.seen[j.ID] {
 			continue
 		}
-		if j.Gang && slices.ContainsFunc(Scarce(&j.Job, types), func(name string) bool { return kept[Kind{name, false}] }) {
+		if j.Gang && slices.ContainsFunc(Scarce(&j.Job, types), func(name string) bool { return kept.Has(Kind{name, false}) }) {
 			t.rate += float64(j.Tasks) / rateTime.Seconds()
 			t.gangAt = now
 		}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -29,7 +29,7 @@
 	Cloud   *cloud.Client
 	Workers *worker.Client
 	// Kept lists the kinds of machine that are always kept for gangs.
-	Kept func() map[capacity.Kind]bool
+	Kept func() capacity.KeptKinds
 	// Deaf names the controller that should hold a block whose holder does not
 	// hear its machines.
 	Deaf func(block int) (core.Host, bool)
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -318,7 +318,9 @@
 		j.Overdue = capacity.Overdue(at, wall, j.Running > 0 || !e.Done.Empty())
 		j.Rank = max(j.Rank, e.Urgency.Rank)
 		j.Timed = e.Urgency.Due > 0 || capacity.Timed(l.Config.Aims, e.Spec)
-		j.Stuck = j.Running == 0 && capacity.Stuck(time.Duration(wall-at)*time.Millisecond)
+		if j.Running == 0 {
+			j.Starvation = capacity.StarvationAfter(time.Duration(wall-at) * time.Millisecond)
+		}
 		if due := capacity.Due(l.Config.Aims, e.Spec, e.At, at, e.Urgency.Due); len(due) > 0 {
 			j.Deadline = due[0]
 		}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -141,16 +141,11 @@
 // Submit takes a job.
 func (n *Node) Submit(body []byte, reply Reply) {
 	j, err := api.ParseJob(body)
+	id := core.JobID(j.ID)
 	if err != nil {
-		var fe *api.FieldError
-		if errors.As(err, &fe) {
-			reply(refuse(400, fe.Problem, fe.Field))
-		} else {
-			reply(refuse(400, err.Error(), ""))
-		}
+		n.refuseMalformed(id, err, reply)
 		return
 	}
-	id := core.JobID(j.ID)
 	if !n.mirror.Complete() || len(n.types()) == 0 {
 		reply(n.later("machine types are not known yet"))
 		return
@@ -159,29 +154,17 @@
 		n.Get(id, reply)
 		return
 	}
-	// What is refused for good may have been accepted by another node a moment ago.
-	unless := func(status int, why, field string) {
-		n.fresh(reply, func() {
-			if e := n.mirror.Jobs[id]; e != nil {
-				reply(n.known(id, e))
-				return
-			}
-			reply(refuse(status, why, field))
-		})
-	}
 	if why, field := n.impossible(&j); why != "" {
-		unless(422, why, field)
+		n.unlessKnown(id, reply, func() { reply(refuse(422, why, field)) })
 		return
 	}
 	if n.unknown(&j) != "" {
-		n.fresh(reply, func() {
-			if e := n.mirror.Jobs[id]; e != nil {
-				reply(n.known(id, e))
-			} else if before := n.unknown(&j); before != "" {
-				reply(refuse(422, "no such job: "+before, "roots"))
-			} else {
-				n.Submit(body, reply)
+		n.unlessKnown(id, reply, func() {
+			if before := n.unknown(&j); before != "" {
+				reply(refuse(422, "no such job: "+before, api.FieldDependencies))
+				return
 			}
+			n.Submit(body, reply)
 		})
 		return
 	}
@@ -192,9 +175,9 @@
 	if err != nil || len(raw) > n.cfg.StateLim.ValueBytes {
 		field := ""
 		if len(j.Dependencies) > 0 {
-			field = "roots"
+			field = api.FieldDependencies
 		}
-		unless(400, "job description too large", field)
+		n.unlessKnown(id, reply, func() { reply(refuse(400, "job description too large", field)) })
 		return
 	}
 	if len(n.creates) >= maxCreates {
@@ -205,6 +188,35 @@
 	n.commit()
 }
 
+// unlessKnown answers with the state of a job that has been accepted, and goes on if the
+// mirror is proven to show none: what is refused for good may have been accepted by another
+// node a moment ago.
+func (n *Node) unlessKnown(id core.JobID, reply Reply, then func()) {
+	n.fresh(reply, func() {
+		if e := n.mirror.Jobs[id]; e != nil {
+			reply(n.known(id, e))
+			return
+		}
+		then()
+	})
+}
+
+// refuseMalformed answers a submission that cannot be read. If it repeats one that was
+// accepted, that one's state is the answer, whatever the repeat carries: a refusal would
+// tell its user that the job is not known.
+func (n *Node) refuseMalformed(id core.JobID, err error, reply Reply) {
+	refusal := refuse(400, err.Error(), "")
+	var fieldError *api.FieldError
+	if errors.As(err, &fieldError) {
+		refusal = refuse(400, fieldError.Problem, fieldError.Field)
+	}
+	if id == "" {
+		reply(refusal)
+		return
+	}
+	n.unlessKnown(id, reply, func() { reply(refusal) })
+}
+
 // trim keeps of the allowed types those that exist, so that the record stays small.
 func (n *Node) trim(j *api.Job) {
 	if j.Types == nil {
@@ -285,7 +297,9 @@
 				}
 				n.mirror.Await(r.Revision, func(ok bool) {
 					if e := n.mirror.Jobs[c.id]; ok && e != nil {
-						c.reply(Answer{Status: 201, Body: n.status(c.id, e)})
+						created := n.known(c.id, e)
+						created.Status = 201
+						c.reply(created)
 						return
 					}
 					c.reply(n.later("the state service does not answer"))
@@ -310,7 +324,7 @@
 			e := n.mirror.Jobs[c.id]
 			switch {
 			case ok && e != nil:
-				c.reply(Answer{Status: 200, Body: n.status(c.id, e)})
+				c.reply(n.known(c.id, e))
 			case !ok || n.loop.Now() > c.due:
 				c.reply(n.later("the state service does not answer"))
 			default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -324,7 +324,7 @@
 }
 
 // kept lists the kinds of machine that are kept for gangs even while none waits.
-func (n *Node) kept() map[capacity.Kind]bool {
+func (n *Node) kept() capacity.KeptKinds {
 	return n.shapes.Kept(n.loop.Now(), n.cfg.Aims, n.types())
 }
 
--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -14,7 +14,7 @@
 			return free
 		}
 		at := m.freeAt(p.out.ReservedAt).Minus(hold)
-		return Need{min(free.CPUs, at.CPUs), min(free.GPUs, at.GPUs), min(free.MemoryGB, at.MemoryGB)}
+		return free.Least(at)
 	}
 }
 
@@ -83,10 +83,11 @@
 
 // kindKey is what makes jobs alike to machines. Allowed types are joined.
 type kindKey struct {
-	team, image, zone, types  string
-	need                      Need
-	spot, noChoice, stuck, in bool
-	own                       int // set for jobs that are like no others
+	team, image, zone, types string
+	need                     Need
+	spot, noChoice, in       bool
+	starvation               Starvation
+	own                      int // set for jobs that are like no others
 }
 
 // kinds sorts waiting arrays by kind, the first in line first.
@@ -96,7 +97,7 @@
 		if j.Gang || j.Waiting <= 0 {
 			continue
 		}
-		key := kindKey{team: j.Team, image: j.Image, zone: j.Zone, need: j.Need, spot: j.Spot, noChoice: j.NoChoice, stuck: j.Stuck, in: p.now.Add(j.Estimate) <= p.out.ReservedAt}
+		key := kindKey{team: j.Team, image: j.Image, zone: j.Zone, need: j.Need, spot: j.Spot, noChoice: j.NoChoice, starvation: j.Starvation, in: p.now.Add(j.Estimate) <= p.out.ReservedAt}
 		if j.OneZone || j.Scatter || len(j.Avoid) > 0 {
 			key.own = i + 1
 		}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -41,7 +41,7 @@
 	}
 	var rooms []room
 	for _, m := range machines {
-		if zone != "" && m.Zone != zone || !j.Allows(m.Type, m.Zone, m.Spot) || j.Avoid[m.ID] || m.Asked && !j.Stuck {
+		if zone != "" && m.Zone != zone || !j.Allows(m.Type, m.Zone, m.Spot) || j.Avoid[m.ID] || !j.gangMayUse(m) {
 			continue
 		}
 		if f := free(m); j.Need.Fits(f) {
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -9,6 +9,21 @@
 	"lichenstair/internal/core"
 )
 
+// Starvation tells how far the wait of a job that has no task on a machine has gone.
+type Starvation int
+
+const (
+	// NotStarving: the job waits as jobs do.
+	NotStarving Starvation = iota
+	// Starving: one of its tasks may take what gangs leave of the machines that are
+	// reserved for them.
+	Starving
+	// Starved: one of its tasks may take any machine that has had room for a while, also
+	// one that a gang could use or that another block asks for, and what its team has left
+	// although a larger job is next.
+	Starved
+)
+
 // Job is a job with waiting tasks.
 type Job struct {
 	ID       core.JobID
@@ -42,11 +57,8 @@
 	// Overdue: the job has waited so long without having begun that its start
 	// goes before all else of its rank.
 	Overdue bool
-	// Stuck: it has waited for a while with nothing running. One of its tasks may have a
-	// machine that is kept for gangs or asked back, and what its team has left.
-	Stuck bool
-	// Pressing: an array has waited so for still longer; it is first of its rank.
-	Pressing bool
+	// Starvation tells how far its wait with nothing running has gone.
+	Starvation Starvation
 	// Probe: the job has only failed so far. It takes room that is free, and holds
 	// none.
 	Probe bool
@@ -134,8 +146,8 @@
 			return x.Rank > y.Rank
 		case x.Overdue != y.Overdue:
 			return x.Overdue
-		case x.Pressing != y.Pressing:
-			return x.Pressing
+		case x.goesFirst() != y.goesFirst():
+			return x.goesFirst()
 		case x.Late != y.Late:
 			return x.Late < y.Late
 		case x.Timed != y.Timed:
@@ -180,10 +192,33 @@
 // passes tells whether the job may use what its team has left although a larger one that
 // does not fit into it is next. One task of a job that has nothing running delays that
 // one by little; a gang of several, by as much as it takes, so not if it is overdue.
-func (j *Job) passes(next *Job) bool { return j.Stuck && (!j.Gang || j.Tasks == 1 || !next.Overdue) }
+func (j *Job) passes(next *Job) bool {
+	return j.Starvation == Starved && (!j.Gang || j.Tasks == 1 || !next.Overdue)
+}
+
+// goesFirst tells whether the job's one task is served first of its rank. One whose zone
+// was full stood behind others, while a machine of another block had room.
+func (j *Job) goesFirst() bool { return j.Starvation == Starved && !j.Gang }
 
 // takes tells whether one more task of an array could be on a machine, its zones
 // aside.
 func (j *Job) takes(m *Machine, free Need) bool {
-	return !m.full(1) && (!m.Kept || j.NoChoice || j.Stuck) && (!m.Asked || j.Stuck) && j.Need.Fits(free) && j.Allows(m.Type, m.Zone, m.Spot) && !j.Avoid[m.ID]
+	return !m.full(1) && j.mayUse(m) && j.Need.Fits(free) && j.Allows(m.Type, m.Zone, m.Spot) && !j.Avoid[m.ID]
+}
+
+// mayUse tells whether an array may use a machine in spite of what the machine is
+// reserved for.
+func (j *Job) mayUse(m *Machine) bool {
+	if j.Starvation == Starved && j.Need.Fits(m.LastingRoom) {
+		return true
+	}
+	if m.Asked {
+		return false
+	}
+	return !m.Kept || j.NoChoice || j.Starvation != NotStarving && m.sparesFor(j.Need)
+}
+
+// gangMayUse is mayUse for a gang: machines are kept for gangs.
+func (j *Job) gangMayUse(m *Machine) bool {
+	return !m.Asked || j.Starvation == Starved && j.Need.Fits(m.LastingRoom)
 }
--- a/internal/placement/need.go
+++ b/internal/placement/need.go
@@ -27,6 +27,11 @@
 	return n.CPUs <= room.CPUs+slack && n.GPUs <= room.GPUs+slack && n.MemoryGB <= room.MemoryGB+slack
 }
 
+// Least is the smaller amount of each resource.
+func (n Need) Least(other Need) Need {
+	return Need{min(n.CPUs, other.CPUs), min(n.GPUs, other.GPUs), min(n.MemoryGB, other.MemoryGB)}
+}
+
 // FitsCounts is Fits for what teams are limited in: CPUs and GPUs.
 func (n Need) FitsCounts(room Need) bool {
 	return n.CPUs <= room.CPUs+slack && n.GPUs <= room.GPUs+slack
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,6 +38,11 @@
 	MaxTasks int
 	// Kept: the machine is kept for gangs, which do not fit elsewhere.
 	Kept bool
+	// KeptFor is what the largest task of those gangs needs, and ByArrays what is booked
+	// by tasks of arrays.
+	KeptFor, ByArrays Need
+	// LastingRoom is what has been free on it for a while.
+	LastingRoom Need
 	// Asked: the machine is asked back and goes once it is empty.
 	Asked bool
 	// Shunned: the machine has failed tasks lately; it is taken last.
@@ -47,6 +52,13 @@
 // full tells whether n more tasks are too many for the machine.
 func (m *Machine) full(n int) bool { return m.MaxTasks > 0 && m.Tasks+n > m.MaxTasks }
 
+// sparesFor tells whether a task of an array leaves room for the gangs for which the
+// machine is kept, once what they have on it has ended. A scoreboard of 30 of 32 CPUs
+// loses nothing by two small tasks beside it.
+func (m *Machine) sparesFor(need Need) bool {
+	return need.Plus(m.ByArrays).Plus(m.KeptFor).Fits(m.Total)
+}
+
 // Free returns what is not booked.
 func (m *Machine) Free() Need { return m.Total.Minus(m.Booked) }
 
@@ -58,6 +70,9 @@
 	next *Job
 }
 
+// Allows tells whether the team's limit leaves room for a need.
+func (t *Team) Allows(need Need) bool { return t.Used.Plus(need).FitsCounts(t.Max) }
+
 // Holds tells whether what the team has left is not for a job, since a larger one is next.
 func (t *Team) Holds(j *Job) bool { return t.next != nil && t.next != j && !j.passes(t.next) }
 
@@ -99,7 +114,7 @@
 	}
 	least := jobs[0].Need
 	for _, j := range jobs {
-		least = Need{min(least.CPUs, j.Need.CPUs), min(least.GPUs, j.Need.GPUs), min(least.MemoryGB, j.Need.MemoryGB)}
+		least = least.Least(j.Need)
 	}
 	for _, m := range p.machines {
 		if !m.full(1) && least.Fits(m.Free()) {
@@ -178,7 +193,7 @@
 	if t.Holds(j) {
 		return false
 	}
-	if !t.Used.Plus(j.Need.Times(float64(tasks))).FitsCounts(t.Max) {
+	if !t.Allows(j.Need.Times(float64(tasks))) {
 		if t.next == nil {
 			t.next = j
 		}
@@ -189,6 +204,9 @@
 
 func (p *pass) start(j *Job, m *Machine) {
 	m.Booked = m.Booked.Plus(j.Need)
+	if !j.Gang {
+		m.ByArrays = m.ByArrays.Plus(j.Need)
+	}
 	m.Tasks++
 	m.Releases = append(m.Releases, Release{p.now.Add(j.Estimate), j.Need})
 	if j.Zones == nil {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -142,32 +142,51 @@
 	}
 }
 
-// A job that has waited for long with nothing running begins with one task, also on a
-// machine that is kept for gangs or asked back, and although a larger job of its team is
-// next: users count 90 s beside a machine with room. It waited there for as long as a gang
-// that needed nearly all of its team's limit. A gang does not pass one that is overdue.
-func TestStuckJobsBegin(t *testing.T) {
+// A job that has waited for long with nothing running begins with one task: first where it
+// takes nothing from the gangs for which a machine is kept, then also on a machine that is
+// kept or asked back, and although a larger job of its team is next: users count 90 s beside
+// a machine with room. It waited there for as long as a gang that needed nearly all of its
+// team's limit. A gang does not pass one that is overdue.
+func TestStarvingJobsBegin(t *testing.T) {
+	kept := func(gang, arrays float64) func(*Machine, *Team) {
+		return func(m *Machine, _ *Team) {
+			m.Kept, m.KeptFor, m.ByArrays = true, Need{CPUs: gang, MemoryGB: 1}, Need{CPUs: arrays, MemoryGB: 1}
+		}
+	}
+	inUse := func(m *Machine, _ *Team) {
+		m.Kept, m.KeptFor, m.LastingRoom = true, m.Total, Need{CPUs: 0.5, MemoryGB: 64}
+	}
+	asked := func(m *Machine, _ *Team) { m.Asked = true }
+	limit := func(_ *Machine, t *Team) { t.Used.CPUs = 6 }
 	for _, tc := range []struct {
-		name           string
-		stuck, overdue bool // the job; the larger one before it
-		gang           bool // the job
-		change         func(m *Machine, team *Team)
-		starts         bool
+		name       string
+		starvation Starvation // of the job
+		overdue    bool       // the larger job before it
+		gang       bool       // the job
+		change     func(m *Machine, team *Team)
+		starts     bool
 	}{
-		{"kept", false, false, false, func(m *Machine, _ *Team) { m.Kept = true }, false},
-		{"kept, stuck", true, false, false, func(m *Machine, _ *Team) { m.Kept = true }, true},
-		{"asked back", false, false, false, func(m *Machine, _ *Team) { m.Asked = true }, false},
-		{"asked back, stuck", true, false, false, func(m *Machine, _ *Team) { m.Asked = true }, true},
-		{"limit", false, false, false, func(_ *Machine, t *Team) { t.Used.CPUs = 6 }, false},
-		{"limit, stuck", true, false, false, func(_ *Machine, t *Team) { t.Used.CPUs = 6 }, true},
-		{"limit, the larger one overdue", true, true, false, func(_ *Machine, t *Team) { t.Used.CPUs = 6 }, true},
-		{"limit, a gang", true, false, true, func(_ *Machine, t *Team) { t.Used.CPUs = 6 }, true},
-		{"limit, a gang, the larger one overdue", true, true, true, func(_ *Machine, t *Team) { t.Used.CPUs = 6 }, false},
+		{"kept", NotStarving, false, false, kept(7, 0), false},
+		{"kept, starving", Starving, false, false, kept(7, 0), true},
+		{"kept, starving, room for the gang in part", Starving, false, false, kept(7.5, 0), false},
+		{"kept, starving, other arrays beside the gang", Starving, false, false, kept(7, 1), false},
+		{"kept, starved", Starved, false, false, kept(8, 0), true},
+		{"kept and in use until now, starved", Starved, false, false, inUse, false},
+		{"asked back", NotStarving, false, false, asked, false},
+		{"asked back, starving", Starving, false, false, asked, false},
+		{"asked back, starved", Starved, false, false, asked, true},
+		{"limit", NotStarving, false, false, limit, false},
+		{"limit, starving", Starving, false, false, limit, false},
+		{"limit, starved", Starved, false, false, limit, true},
+		{"limit, the larger one overdue", Starved, true, false, limit, true},
+		{"limit, a gang", Starved, false, true, limit, true},
+		{"limit, a gang, the larger one overdue", Starved, true, true, limit, false},
 	} {
 		m, team := machineOf("m", 8, 64), &Team{Max: Need{CPUs: 30}}
+		m.LastingRoom = m.Total
 		tc.change(m, team)
 		large := &Job{ID: "large", Team: "red", At: 1, Gang: true, Tasks: 4, Waiting: 4, Need: Need{CPUs: 7, MemoryGB: 1}, Overdue: tc.overdue, Rank: 1}
-		small := &Job{ID: "small", Team: "red", At: 2, Tasks: 9, Waiting: 1, Need: Need{CPUs: 1, MemoryGB: 1}, Stuck: tc.stuck, Gang: tc.gang}
+		small := &Job{ID: "small", Team: "red", At: 2, Tasks: 9, Waiting: 1, Need: Need{CPUs: 1, MemoryGB: 1}, Starvation: tc.starvation, Gang: tc.gang}
 		if tc.gang {
 			small.Tasks = 2
 		}
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -121,6 +121,8 @@
 					m.Booked = m.Booked.Plus(Need{CPUs: 1, MemoryGB: 1})
 					m.Releases = append(m.Releases, Release{core.Time(r.Int64N(int64(time.Minute))), Need{CPUs: 1, MemoryGB: 1}})
 				}
+				m.ByArrays, m.KeptFor = m.Booked, Need{CPUs: float64(r.IntN(5)), MemoryGB: 1}
+				m.LastingRoom = Need{CPUs: float64(r.IntN(6)), MemoryGB: 64}
 				m.Images[fmt.Sprint(r.IntN(3))] = true
 				machines = append(machines, m)
 			}
@@ -130,7 +132,7 @@
 				j := &Job{
 					ID: core.JobID(fmt.Sprint("req-", i)), Team: []string{"red", "blue"}[r.IntN(2)], Rank: r.IntN(2), At: core.Wall(1 + r.IntN(9)), Need: Need{CPUs: float64(1 + r.IntN(3)), MemoryGB: 1.3},
 					Tasks: n, Waiting: n, Estimate: time.Duration(1+r.IntN(60)) * time.Second, Image: fmt.Sprint(r.IntN(3)), Spot: r.IntN(2) == 0,
-					Scatter: r.IntN(5) == 0, NoChoice: r.IntN(5) == 0, Stuck: r.IntN(6) == 0, Overdue: r.IntN(9) == 0, Pressing: r.IntN(12) == 0, Avoid: map[core.MachineID]bool{"n-001": r.IntN(3) == 0},
+					Scatter: r.IntN(5) == 0, NoChoice: r.IntN(5) == 0, Starvation: Starvation(max(0, r.IntN(9)-6)), Overdue: r.IntN(9) == 0, Avoid: map[core.MachineID]bool{"n-001": r.IntN(3) == 0},
 				}
 				if r.IntN(4) == 0 {
 					j.Gang, j.Tasks, j.Waiting, j.Need.CPUs, j.Scatter, j.OneZone = true, 1+n%3, 1+n%3, float64(3+r.IntN(40)), false, r.IntN(2) == 0
--- a/internal/sim/pipeline_test.go
+++ b/internal/sim/pipeline_test.go
@@ -11,6 +11,7 @@
 	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/node"
 	"lichenstair/internal/state"
 )
 
@@ -144,6 +145,11 @@
 	if written != 1 {
 		t.Errorf("%d records of cancelled jobs were written for 42 jobs", written)
 	}
+	for _, e := range w.State.log {
+		if strings.HasPrefix(e.Set, state.KeyJob("")) && strings.Contains(string(e.Value), `"phase":"done"`) && !strings.Contains(string(e.Value), `"ended":`) {
+			t.Errorf("%s does not tell when the job was done", e.Set)
+		}
+	}
 }
 
 // A submission that names a job never accepted gets 422 only from a node that is proven to
@@ -179,6 +185,60 @@
 	}
 }
 
+// A repeated submission is answered by the state of the job, whatever it carries and
+// whatever has become of the jobs that it names: as long as that can't be proven, it is to
+// be repeated, and never refused. What may change is dated, so that it is not sent late.
+func TestRepeatedSubmissionIsNeverRefused(t *testing.T) {
+	w := NewWorld(Settings(3), 63, nil)
+	w.Populate()
+	w.Run(5 * time.Second)
+	submit := func(h *Host, body []byte) (answer node.Answer) {
+		h.proc.node.Submit(body, func(a node.Answer) { answer = a })
+		w.Run(w.Now() + 4*time.Second)
+		return answer
+	}
+	unchanged := func(map[string]any) {}
+	first := w.step(1, "red")
+	first.EstimateS = 300
+	second := w.step(2, "blue", first.ID)
+	for _, j := range []api.Job{first, second} {
+		if a := submit(w.Hosts[0], changed(j, unchanged)); a.Status != 201 || len(j.Dependencies) > 0 && a.Due == 0 {
+			t.Fatalf("%s is answered %+v", j.ID, a)
+		}
+	}
+	repeats := append([]oddity{
+		{"is the same", unchanged},
+		{"names none", func(f map[string]any) { delete(f, "roots") }},
+		{"has roots of a wrong type", func(f map[string]any) { f["roots"] = 7 }},
+	}, oddities...)
+	w.State.Refuse(w.Hosts[2].name, time.Hour)
+	w.Run(w.Now() + 5*time.Second)
+	for _, phase := range []string{api.PhaseQueued, api.PhaseCancelled} {
+		if phase == api.PhaseCancelled {
+			w.Hosts[0].proc.node.Cancel(core.JobID(first.ID), func(node.Answer) {})
+			w.Run(w.Now() + 4*time.Second)
+		}
+		for _, repeat := range repeats {
+			body := changed(second, repeat.change)
+			for _, h := range w.Hosts[:2] {
+				a := submit(h, body)
+				if s, ok := a.Body.(api.JobStatus); !ok || a.Status != 200 || s.Phase != phase || phase == api.PhaseQueued && a.Due == 0 {
+					t.Errorf("a repeat that %s is answered %+v, want %s", repeat.what, a, phase)
+				}
+			}
+			if a := submit(w.Hosts[2], body); a.Status != 503 || a.RetryAfter == 0 {
+				t.Errorf("a repeat that %s is answered %+v by a controller that cannot know", repeat.what, a)
+			}
+		}
+	}
+	if a := submit(w.Hosts[0], changed(w.step(3, "red"), oddities[1].change)); a.Status != 400 {
+		t.Errorf("a new job that %s is answered %+v", oddities[1].what, a)
+	}
+	if len(w.Check.Broken) > 0 {
+		t.Error(w.Check.Broken)
+	}
+}
+
 // While half of the controllers are of the version before, which keeps the older limits
 // and drops what it does not know, and after all have been replaced in turn, the rules
 // hold; the limits are lowered without notice once all are new, at different moments of an
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -133,25 +133,49 @@
 	case j.accepted && j.final == "":
 		u.try(j)
 	}
-	for _, odd := range []struct {
-		what   string
-		change func(map[string]any)
-	}{
-		{"fits no machine", func(f map[string]any) { f["cpus"] = 4096.0 }},
-		{"lacks a field", func(f map[string]any) { delete(f, "growS") }},
-		{"names a job that nobody submitted", func(f map[string]any) { f["roots"] = []string{"req-777000777"} }},
-		{"names itself", func(f map[string]any) { f["roots"] = []any{f["uid"]} }},
-		{"has a wrong field", func(f map[string]any) { f["spores"] = "many" }},
-	} {
+	if j.accepted {
+		// A repeat is answered by what is known of the job, whatever it carries.
+		repeat := changed(j.spec, oddities[u.w.Rand.IntN(len(oddities))].change)
+		asked := u.w.now
+		u.call("POST", "/work", repeat, func(res core.Response) { u.hear(j, res, asked) })
+	}
+	for _, odd := range oddities {
 		spec := j.spec
 		spec.ID = fmt.Sprintf("req-8%08d", u.w.Rand.IntN(1e8))
-		raw, _ := json.Marshal(spec)
-		var f map[string]any
-		_ = json.Unmarshal(raw, &f)
-		odd.change(f)
-		raw, _ = json.Marshal(f)
-		u.call("POST", "/work", raw, func(res core.Response) { u.w.Check.Odd(odd.what, res.Status) })
+		u.call("POST", "/work", changed(spec, odd.change), func(res core.Response) { u.w.Check.Odd(odd.what, res.Status) })
+	}
+}
+
+// oddity is a change that makes a submission one that must be refused.
+type oddity struct {
+	what   string
+	change func(map[string]any)
+}
+
+var oddities = []oddity{
+	{"fits no machine", func(f map[string]any) { f["cpus"] = 4096.0 }},
+	{"lacks a field", func(f map[string]any) { delete(f, "growS") }},
+	{"names a job that nobody submitted", func(f map[string]any) { f["roots"] = []string{"req-777000777"} }},
+	{"names itself", func(f map[string]any) { f["roots"] = []any{f["uid"]} }},
+	{"has a wrong field", func(f map[string]any) { f["spores"] = "many" }},
+}
+
+// changed is the body of a submission with its fields changed.
+func changed(spec api.Job, change func(map[string]any)) []byte {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		panic(err)
+	}
+	change(fields)
+	raw, err = json.Marshal(fields)
+	if err != nil {
+		panic(err)
 	}
+	return raw
 }
 
 func (u *Users) call(method, path string, body []byte, done func(core.Response)) {
