Tests of blocked jobs, times from readiness, inherited ranks, far jobs and held machines

Each fails without its guard (taken out one at a time); before, nothing failed when blocked jobs counted in guarantees, when times counted from the submission, when the end of a dependency was not written, when ranks were not inherited, and when machines were rented for jobs far from ready.

--- /dev/null
+++ b/internal/block/dependency_test.go
@@ -0,0 +1,129 @@
+package block
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"lichenstair/api"
+	"lichenstair/internal/capacity"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+	"lichenstair/internal/state"
+	"lichenstair/internal/worker"
+)
+
+// storeLoop answers the state service's side from a fixed set of keys.
+type storeLoop struct {
+	stillLoop
+	items []api.Item
+}
+
+func (l *storeLoop) Call(r core.Request, done func(core.Response)) {
+	page := api.ItemPage{Items: l.items, Revision: 9}
+	switch {
+	case strings.Contains(r.Path, "/watch") && !strings.Contains(r.Path, "blockMs=0"):
+		return // nothing more happens
+	case strings.Contains(r.Path, "/watch"), r.Path == "/txn":
+		page.Items = nil
+	}
+	body, err := json.Marshal(page)
+	if err != nil {
+		panic(err)
+	}
+	done(core.Response{Status: 200, Body: body})
+}
+
+func (l *storeLoop) put(key string, record any) {
+	l.items = append(l.items, api.Item{Key: key, Value: state.Put(key, record).Value, Version: uint64(len(l.items) + 1)})
+}
+
+// holderOf is a holder that has just been granted block 0 with the jobs of team red, which
+// is guaranteed 20 CPUs.
+func holderOf(t *testing.T, jobs ...state.Job) *Holder {
+	t.Helper()
+	loop := &storeLoop{}
+	log := slog.New(slog.DiscardHandler)
+	cfg := &config.Config{
+		Host: "stalk-0", Workers: config.Workers{Report: time.Second, Lease: 10 * time.Second, Cancel: 35 * time.Second},
+		StateLim: config.StateLimits{RPS: 100, WriteRPS: 40, ValueBytes: 8 << 10, TxnOps: 32},
+		Teams:    []config.Team{{Name: "red", CPUs: 20, CPUsMax: 100}},
+	}
+	record := state.Block{Holder: cfg.Host, Term: 7, Teams: []string{"red"}}
+	loop.put(state.KeyBlock(0), record)
+	for _, j := range jobs {
+		loop.put(state.KeyJob(core.JobID(j.Spec.ID)), j)
+	}
+	client := state.NewClient(loop, loop, "", cfg.StateLim, 3)
+	mirror := state.NewMirror(loop, client, log)
+	mirror.Start()
+	if !mirror.Complete() {
+		t.Fatal("the mirror is not complete")
+	}
+	return New(Env{
+		Loop: loop, Log: log, Config: cfg, Host: cfg.Host, Mirror: mirror, State: client, Workers: worker.NewClient(loop),
+		Types: func() map[string]api.MachineType { return nil }, Kept: func() capacity.KeptKinds { return capacity.KeptKinds{} },
+	}, &record)
+}
+
+// recordOf is the record of an accepted job of ten tasks of one CPU.
+func recordOf(id, rank string, at core.Wall, dependencies ...string) state.Job {
+	spec := &api.Job{ID: id, Team: "red", Form: api.FormArray, Rank: rank, Tasks: 10, CPUs: 1, MemoryGB: 1, EstimateS: 10, Dependencies: dependencies}
+	return state.Job{Phase: state.JobAccepted, Tasks: 10, At: at, Team: "red", CPUs: 1, MemoryGB: 1, Spec: spec}
+}
+
+// A job that waits for others has no waiting task, no place in the queue and no part of its
+// team's guarantee, though it is the oldest.
+func TestBlockedJobTakesNothing(t *testing.T) {
+	h := holderOf(t, recordOf("req-1", api.RankStandard, 500), recordOf("req-2", api.RankHigh, 100, "req-1"), recordOf("req-3", api.RankStandard, 900))
+	if n := h.jobs["req-2"].waiting(); n != 0 {
+		t.Errorf("%d tasks of a job wait though another has to be done first", n)
+	}
+	if n := h.Hint().Waiting; n != 20 {
+		t.Errorf("%d waiting tasks are told to the others, want 20", n)
+	}
+	var listed []core.JobID
+	for _, candidate := range h.candidates(0) {
+		listed = append(listed, candidate.ID)
+		if !candidate.Guaranteed {
+			t.Errorf("%s is not within the guarantee of 20 CPUs", candidate.ID)
+		}
+	}
+	if len(listed) != 2 || listed[0] != "req-1" || listed[1] != "req-3" {
+		t.Errorf("candidates: %v", listed)
+	}
+}
+
+// Waiting, age and guarantees count from the end of the last dependency, for each holder
+// alike; for one whose record the previous version wrote, without the time of its end, from
+// the submission. The deadline counts from the submission, however long the job waits.
+func TestTimesCountFromReadiness(t *testing.T) {
+	for _, tc := range []struct{ ended, ready core.Wall }{{50_000, 50_000}, {0, 1000}} {
+		second := recordOf("req-2", api.RankStandard, 1000, "req-1")
+		deadline := 30.0
+		second.Spec.DeadlineS = &deadline
+		first := recordOf("req-1", api.RankStandard, 500).End(state.JobDone, tc.ended)
+		first.Spec = &api.Job{ID: "req-1"} // for the name of its key only
+		h := holderOf(t, first, second)
+		j := h.jobs["req-2"]
+		if j == nil || j.blocked || j.at != tc.ready || j.sent != 1000 {
+			t.Fatalf("ended at %d: %+v", tc.ended, j)
+		}
+		candidates := h.candidates(0)
+		if len(candidates) != 1 || candidates[0].At != tc.ready || candidates[0].Haste.Due[0] != 31_000 {
+			t.Errorf("ended at %d: %+v", tc.ended, candidates)
+		}
+	}
+}
+
+// A job counts with the highest rank of the jobs that need it, also beside others of its own.
+func TestRankOfDependentsCounts(t *testing.T) {
+	h := holderOf(t, recordOf("req-1", api.RankBestEffort, 500), recordOf("req-2", api.RankHigh, 600, "req-1"))
+	candidates := h.candidates(0)
+	if len(candidates) != 1 || candidates[0].Rank != placement.Rank(api.RankHigh) {
+		t.Errorf("%+v", candidates)
+	}
+}
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -10,6 +10,7 @@
 	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
 	"lichenstair/internal/worker"
 )
@@ -344,3 +345,23 @@
 		t.Fatal("it reports and answers, and still counts as deaf")
 	}
 }
+
+// An idle machine stays in the block for a job that waits for it, but not if the limit of
+// the job's team is reached: those machines stood idle while other blocks had work.
+func TestMachineIsNotHeldForATeamAtItsLimit(t *testing.T) {
+	h, m := testHolder()
+	h.Config.Operator.Idle = 20 * time.Second
+	m.total, m.idle = placement.Need{CPUs: 8, MemoryGB: 8}, 1
+	now := core.Time(5 * time.Second)
+	for _, tc := range []struct {
+		form     string
+		used     float64
+		released bool
+	}{{api.FormArray, 0, false}, {api.FormArray, 99, false}, {api.FormArray, 99.5, true}, {api.FormGang, 97, false}, {api.FormGang, 98, true}} {
+		h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Form: tc.form, Team: "red", Tasks: 3, CPUs: 1, MemoryGB: 1}, need: placement.Need{CPUs: 1, MemoryGB: 1}, slots: map[int]*slot{}}
+		h.teams = map[string]*placement.Team{"red": {Used: placement.Need{CPUs: tc.used}, Max: placement.Need{CPUs: 100}}}
+		if got := h.releasable(m, now); got != tc.released {
+			t.Errorf("%s, %v of 100 CPUs used: released %v", tc.form, tc.used, got)
+		}
+	}
+}
--- a/internal/sim/pipeline_test.go
+++ b/internal/sim/pipeline_test.go
@@ -152,6 +152,29 @@
 	}
 }
 
+// No machine is rented or kept for a job that is far from ready: none of the jobs that it
+// needs has begun.
+func TestNothingIsRentedForJobsFarFromReady(t *testing.T) {
+	machines := func(last bool) int {
+		w := NewWorld(Settings(3), 64, nil)
+		w.Populate()
+		first := w.step(1, "red")
+		first.EstimateS = 90
+		at(w, 5, func() { w.Users.Submit(first) })
+		at(w, 6, func() { w.Users.Submit(w.step(2, "red", first.ID)) })
+		if last {
+			huge := w.step(3, "red", "req-000002")
+			huge.Tasks = 90
+			at(w, 7, func() { w.Users.Submit(huge) })
+		}
+		w.Run(70 * time.Second)
+		return len(w.Cloud.Up())
+	}
+	if without, with := machines(false), machines(true); with > without {
+		t.Errorf("%d machines for a job that nobody can start for a minute, %d without it", with, without)
+	}
+}
+
 // A submission that names a job never accepted gets 422 only from a node that is proven to
 // be up to date; one that can't be says so.
 func TestUnknownDependency(t *testing.T) {
