A starving job takes room that nobody uses, not the machine that the next gang needs

Cause: after 45 s with nothing running one task of each array could take any kept or asked machine; in an overload each took a machine that the next scoreboard needed. Now: at 45 s only beside a gang that runs for longer, and only what that gang's kind leaves; at 70 s a machine that has had the room for the last half minute to minute.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -83,8 +83,11 @@
 	manyFails   = 8 // in a row, of a job that has completed tasks
 	lookPause   = 5 * time.Second
 	releaseIdle = 2 * time.Second
-	askPause    = 100 * time.Millisecond // between questions without answer, doubled each time
-	maxAskPause = 3 * time.Second
+	// inheritedWait bounds how long a job counts as having waited before its holder had
+	// the block: with what is left, it begins within the 90 s that users count.
+	inheritedWait = 60 * time.Second
+	askPause      = 100 * time.Millisecond // between questions without answer, doubled each time
+	maxAskPause   = 3 * time.Second
 )
 
 // New starts to hold a block as its record in the mirror says.
@@ -251,7 +254,7 @@
 		}
 		j = &job{
 			id: id, at: e.At, sent: e.At, blocked: true, spec: e.Spec, rank: placement.Rank(e.Spec.Rank), need: placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB},
-			slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{},
+			slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{}, inherited: h.state == recovering,
 		}
 		h.jobs[id] = j
 		h.Log.Info("job to place", "job", id, "class", j.spec.Class, "team", j.spec.Team, "form", j.spec.Form, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs, "memory_gb", j.spec.MemoryGB, "spot", j.spec.Spot, "image", j.spec.Image, "estimate_s", j.spec.EstimateS, "age_ms", h.Loop.Wall()-j.at)
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -75,7 +75,9 @@
 		p.KeptFor, p.Kept = kept[capacity.Kind{Type: m.typ, Spot: m.spot}]
 		for _, s := range m.slots {
 			if s.booked() {
-				p.Releases = append(p.Releases, placement.Release{At: h.ends(s, now), Need: s.need})
+				ends := h.ends(s, now)
+				p.Releases = append(p.Releases, placement.Release{At: ends, Need: s.need})
+				p.BusyFor = max(p.BusyFor, ends.Sub(now))
 				if j := h.jobs[s.task.Job]; j == nil || !j.gang() {
 					p.ByArrays = p.ByArrays.Plus(s.need)
 				}
@@ -201,14 +203,8 @@
 			p.Late = len(h.Config.Aims)
 		}
 		p.Timed = guaranteed || j.due > 0 || capacity.Timed(h.Config.Aims, j.spec)
-		if j.live() > 0 {
-			j.alone = 0
-		} else if j.alone == 0 {
-			j.alone = now
-		}
-		if j.alone > 0 {
-			p.Starvation = capacity.StarvationAfter(now.Sub(j.alone))
-		}
+		j.noteWait(now, time.Duration(wall-j.at)*time.Millisecond)
+		p.Starvation = j.starvation(now)
 		if p.Starvation != placement.NotStarving && !j.gang() {
 			p.Waiting = 1
 		}
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lichenstair/api"
+	"lichenstair/internal/capacity"
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
 )
@@ -206,9 +207,12 @@
 	done    core.Set // known done, durable or not
 	pending core.Set // done, not yet durable
 	slots   map[int]*slot
-	cursor  int       // tasks below are or were started, or done
-	again   []int     // tasks below cursor that wait again
-	alone   core.Time // since when none of its tasks has a place; 0: one has
+	cursor  int   // tasks below are or were started, or done
+	again   []int // tasks below cursor that wait again
+	// withoutTasks: none of its tasks has a machine, since withoutSince.
+	withoutTasks bool
+	withoutSince core.Time
+	inherited    bool // it waited before this holder had the block, nobody knows for how long
 	// cancelled: another controller told so; the mirror does not show it yet.
 	cancelled bool
 	broken    bool // gang: a member is gone; the rest has to go
@@ -248,6 +252,29 @@
 	return n
 }
 
+// noteWait follows since when the job has had nothing on a machine. What it waited before
+// its holder had the block is not known; without counting it, jobs waited 90 s beside room
+// whenever their block changed hands in between.
+func (j *job) noteWait(now core.Time, age time.Duration) {
+	switch {
+	case j.live() > 0:
+		j.withoutTasks, j.inherited = false, false
+	case !j.withoutTasks:
+		j.withoutTasks, j.withoutSince = true, now
+		if j.inherited {
+			j.withoutSince = now.Add(-min(age, inheritedWait))
+		}
+	}
+}
+
+// starvation tells how far the job's wait has gone.
+func (j *job) starvation(now core.Time) placement.Starvation {
+	if !j.withoutTasks {
+		return placement.NotStarving
+	}
+	return capacity.StarvationAfter(now.Sub(j.withoutSince))
+}
+
 // begun tells whether a task of the job has been on a machine. Plans do not count: a
 // job whose only plan had been dropped was taken for begun, and waited for ever.
 func (j *job) begun() bool { return j.seen || !j.done.Empty() }
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -215,7 +215,7 @@
 	if m.Asked {
 		return false
 	}
-	return !m.Kept || j.NoChoice || j.Starvation != NotStarving && m.sparesFor(j.Need)
+	return !m.Kept || j.NoChoice || j.Starvation != NotStarving && m.sparesFor(j)
 }
 
 // gangMayUse is mayUse for a gang: machines are kept for gangs.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -9,6 +9,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"lichenstair/internal/core"
 )
@@ -43,6 +44,8 @@
 	KeptFor, ByArrays Need
 	// LastingRoom is what has been free on it for a while.
 	LastingRoom Need
+	// BusyFor is how long what runs on it now will last by estimate.
+	BusyFor time.Duration
 	// Asked: the machine is asked back and goes once it is empty.
 	Asked bool
 	// Shunned: the machine has failed tasks lately; it is taken last.
@@ -52,11 +55,11 @@
 // full tells whether n more tasks are too many for the machine.
 func (m *Machine) full(n int) bool { return m.MaxTasks > 0 && m.Tasks+n > m.MaxTasks }
 
-// sparesFor tells whether a task of an array leaves room for the gangs for which the
-// machine is kept, once what they have on it has ended. A scoreboard of 30 of 32 CPUs
-// loses nothing by two small tasks beside it.
-func (m *Machine) sparesFor(need Need) bool {
-	return need.Plus(m.ByArrays).Plus(m.KeptFor).Fits(m.Total)
+// sparesFor tells whether a task of an array takes nothing from the gangs for which the
+// machine is kept: it leaves them room, and has ended by the time at which the machine
+// could go to another block that has such a gang.
+func (m *Machine) sparesFor(j *Job) bool {
+	return j.Estimate <= m.BusyFor && j.Need.Plus(m.ByArrays).Plus(m.KeptFor).Fits(m.Total)
 }
 
 // Free returns what is not booked.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -151,8 +151,13 @@
 	kept := func(gang, arrays float64) func(*Machine, *Team) {
 		return func(m *Machine, _ *Team) {
 			m.Kept, m.KeptFor, m.ByArrays = true, Need{CPUs: gang, MemoryGB: 1}, Need{CPUs: arrays, MemoryGB: 1}
+			m.BusyFor = time.Minute
 		}
 	}
+	empty := func(m *Machine, t *Team) {
+		kept(7, 0)(m, t)
+		m.BusyFor = time.Second
+	}
 	inUse := func(m *Machine, _ *Team) {
 		m.Kept, m.KeptFor, m.LastingRoom = true, m.Total, Need{CPUs: 0.5, MemoryGB: 64}
 	}
@@ -170,6 +175,7 @@
 		{"kept, starving", Starving, false, false, kept(7, 0), true},
 		{"kept, starving, room for the gang in part", Starving, false, false, kept(7.5, 0), false},
 		{"kept, starving, other arrays beside the gang", Starving, false, false, kept(7, 1), false},
+		{"kept, starving, the gang's task ends sooner", Starving, false, false, empty, false},
 		{"kept, starved", Starved, false, false, kept(8, 0), true},
 		{"kept and in use until now, starved", Starved, false, false, inUse, false},
 		{"asked back", NotStarving, false, false, asked, false},
@@ -186,7 +192,7 @@
 		m.LastingRoom = m.Total
 		tc.change(m, team)
 		large := &Job{ID: "large", Team: "red", At: 1, Gang: true, Tasks: 4, Waiting: 4, Need: Need{CPUs: 7, MemoryGB: 1}, Overdue: tc.overdue, Rank: 1}
-		small := &Job{ID: "small", Team: "red", At: 2, Tasks: 9, Waiting: 1, Need: Need{CPUs: 1, MemoryGB: 1}, Starvation: tc.starvation, Gang: tc.gang}
+		small := &Job{ID: "small", Team: "red", At: 2, Tasks: 9, Waiting: 1, Need: Need{CPUs: 1, MemoryGB: 1}, Starvation: tc.starvation, Gang: tc.gang, Estimate: 5 * time.Second}
 		if tc.gang {
 			small.Tasks = 2
 		}
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -122,7 +122,7 @@
 					m.Releases = append(m.Releases, Release{core.Time(r.Int64N(int64(time.Minute))), Need{CPUs: 1, MemoryGB: 1}})
 				}
 				m.ByArrays, m.KeptFor = m.Booked, Need{CPUs: float64(r.IntN(5)), MemoryGB: 1}
-				m.LastingRoom = Need{CPUs: float64(r.IntN(6)), MemoryGB: 64}
+				m.LastingRoom, m.BusyFor = Need{CPUs: float64(r.IntN(6)), MemoryGB: 64}, time.Duration(r.IntN(60))*time.Second
 				m.Images[fmt.Sprint(r.IntN(3))] = true
 				machines = append(machines, m)
 			}
