--- a/internal/block/dependency_test.go
+++ b/internal/block/dependency_test.go
@@ -113,7 +113,7 @@
 			t.Fatalf("ended at %d: %+v", tc.ended, j)
 		}
 		candidates := h.candidates(0)
-		if len(candidates) != 1 || candidates[0].At != tc.ready || candidates[0].Haste.Due[0] != 31_000 {
+		if len(candidates) != 1 || candidates[0].At != tc.ready || candidates[0].Timing.Due[0] != 31_000 {
 			t.Errorf("ended at %d: %+v", tc.ended, candidates)
 		}
 	}
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -53,36 +53,36 @@
 	seq    uint64
 	round  int
 
-	machines map[core.MachineID]*machine
-	jobs     map[core.JobID]*job
-	teams    map[string]*placement.Team // as the last pass left them
-	dirty    bool
-	passing  bool // a pass is due
-	passAt   core.Time
-	awake    core.Time // since when we listen without a halt
-	lookAt   core.Time // when what waits is looked at again, though nothing has changed
-	writing  bool
-	drawing  bool
-	spare    struct { // terms in stock, to be shown to machines
+	machines      map[core.MachineID]*machine
+	jobs          map[core.JobID]*job
+	teams         map[string]*placement.Team // as the last pass left them
+	dirty         bool
+	passing       bool // a pass is due
+	passAt        core.Time
+	awake         core.Time // since when we listen without a halt
+	lookAt        core.Time // when what waits is looked at again, though nothing has changed
+	writing       bool
+	allocating    bool
+	reservedTerms struct { // terms in stock, to be shown to machines
 		next, last core.Term
 		short      bool // there is none for a machine that wants one
 	}
 }
 
 const (
-	margin      = 500 * time.Millisecond
-	answerDrop  = 4 * time.Second        // workers drop later answers to reports
-	reportPause = 500 * time.Millisecond // at least, between two reports of a worker
-	maxOrders   = 150
-	passPause   = 150 * time.Millisecond
-	roundPause  = 250 * time.Millisecond
-	maxRounds   = 24
-	maxBatch    = 24 // changes in one transaction
-	shunTime    = 60 * time.Second
-	avoidTime   = 60 * time.Second
-	manyFails   = 8 // in a row, of a job that has completed tasks
-	lookPause   = 5 * time.Second
-	releaseIdle = 2 * time.Second
+	margin         = 500 * time.Millisecond
+	answerDrop     = 4 * time.Second        // workers drop later answers to reports
+	reportPause    = 500 * time.Millisecond // at least, between two reports of a worker
+	maxOrders      = 150
+	passPause      = 150 * time.Millisecond
+	roundPause     = 250 * time.Millisecond
+	maxRounds      = 24
+	maxBatch       = 24 // changes in one transaction
+	unreliableTime = 60 * time.Second
+	avoidTime      = 60 * time.Second
+	manyFails      = 8 // in a row, of a job that has completed tasks
+	lookPause      = 5 * time.Second
+	releaseIdle    = 2 * time.Second
 	// inheritedWait bounds how long a job counts as having waited before its holder had
 	// the block: with what is left, it begins within the 90 s that users count.
 	inheritedWait = 60 * time.Second
@@ -97,7 +97,7 @@
 		machines: map[core.MachineID]*machine{}, jobs: map[core.JobID]*job{},
 	}
 	h.Log = env.Log.With("block", rec.Number)
-	h.Log.Info("block granted to us", "term", rec.Term, "machines", h.Mirror.Shelf(rec.Number).Len(), "teams", rec.Teams)
+	h.Log.Info("block granted to us", "term", rec.Term, "machines", h.Mirror.Inventory(rec.Number).Len(), "teams", rec.Teams)
 	h.follow(rec)
 	for _, id := range core.Keys(h.Mirror.Jobs) {
 		h.followJob(id)
@@ -163,7 +163,7 @@
 	if h.state == released {
 		return
 	}
-	if t.Blocks || slices.Contains(t.Shelves, h.number) || slices.Contains(t.Shelves, state.PoolShelf) {
+	if t.Blocks || slices.Contains(t.Inventories, h.number) || slices.Contains(t.Inventories, state.PoolInventory) {
 		if b, ok := h.Mirror.Blocks[h.number]; ok {
 			h.follow(b.Record)
 			h.write()
@@ -183,7 +183,7 @@
 func (h *Holder) follow(rec *state.Block) {
 	now := h.Loop.Now()
 	listed := map[core.MachineID]bool{}
-	for r := range h.Mirror.Shelf(h.number).All() {
+	for r := range h.Mirror.Inventory(h.number).All() {
 		listed[r.ID] = true
 		m := h.machines[r.ID]
 		if m == nil {
@@ -198,7 +198,7 @@
 				m.answer = now.Add(maxSilence(h.Config.Workers))
 			}
 			m.term = r.Term
-			m.nudged = now
+			m.prompted = now
 			h.machines[r.ID] = m
 			h.dirty = true
 			h.fence(m)
@@ -216,7 +216,7 @@
 			h.flush(m)
 		}
 	}
-	for p := range h.Mirror.Shelf(state.PoolShelf).All() {
+	for p := range h.Mirror.Inventory(state.PoolInventory).All() {
 		if m := h.machines[p.ID]; m != nil && p.Fate == state.Gone && m.state != lapsed {
 			// The cloud has answered 200 to its return: it and all on it are gone.
 			h.clearMachine(m, "returned to the cloud")
@@ -267,7 +267,7 @@
 		}
 	}
 	// done is final, so the mirror can only be late in showing that the job may run.
-	if at, ok := h.Mirror.Begins(e); ok && j.blocked {
+	if at, ok := h.Mirror.ReadyAt(e); ok && j.blocked {
 		j.at, j.blocked = at, false
 		h.dirty = true
 		if len(j.spec.Dependencies) > 0 {
@@ -398,7 +398,7 @@
 
 // fence shows our term to a machine and asks what is on it.
 func (h *Holder) fence(m *machine) {
-	if m.asking || m.fenced && !m.deaf || m.addr == "" || h.state == released {
+	if m.asking || m.fenced && !m.unreachable || m.addr == "" || h.state == released {
 		return
 	}
 	m.asking = true
@@ -469,12 +469,12 @@
 	sole := h.sole()
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
-		if (!m.fenced && m.state != lapsed || m.deaf && m.state == live) && now >= m.askNext {
+		if (!m.fenced && m.state != lapsed || m.unreachable && m.state == live) && now >= m.askNext {
 			h.fence(m)
 		}
 		if m.state == live && now.Sub(max(m.heard, h.awake)) > quiet {
 			h.moveMachine(m, silent)
-			h.unplan(m)
+			h.cancelPlans(m)
 		}
 		if (m.state == live || m.state == silent || m.state == unsure) && sole > m.answer.Add(core.Stretch(w.Lease)+margin) {
 			// The lease counts from the sending of the last answered report, which
@@ -483,7 +483,7 @@
 			// service, another holder may have kept the machine alive, and its tasks
 			// were taken to be off it.
 			h.moveMachine(m, lapsed)
-			h.setDeaf(m, true)
+			h.setUnreachable(m, true)
 			h.clearMachine(m, "lease surely ran out")
 			m.floor = m.season
 			m.fenced = true
@@ -499,7 +499,7 @@
 	}
 	h.checkRecovered()
 	if h.state == placing {
-		h.drawTerms()
+		h.allocateTerms()
 	}
 	if now >= h.lookAt && len(h.jobs) > 0 {
 		// How long a job has waited decides as well, and time alone changes nothing else.
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -61,18 +61,18 @@
 
 // A start that the machine's next report does not show means that our answers do
 // not reach it: it gets no work until it has answered a command.
-func TestDeafMachineGetsNoWork(t *testing.T) {
+func TestUnreachableMachineGetsNoWork(t *testing.T) {
 	h, m := testHolder()
 	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 1, Term: 7}, true, 0)
 	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: starting, sentSeason: 1, sentTally: 1}
 	m.add(s)
 	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 2, Term: 7}, true, 1)
-	if !m.empty() || !m.deaf || h.ready(m) {
-		t.Fatalf("after a start that did not arrive: %d slots, deaf %v", len(m.slots), m.deaf)
+	if !m.empty() || !m.unreachable || h.ready(m) {
+		t.Fatalf("after a start that did not arrive: %d slots, unreachable %v", len(m.slots), m.unreachable)
 	}
 	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 3, Term: 7}, false, 2)
-	if m.deaf || !h.ready(m) {
-		t.Fatal("it answered a command and still counts as deaf")
+	if m.unreachable || !h.ready(m) {
+		t.Fatal("it answered a command and still counts as unreachable")
 	}
 }
 
@@ -124,29 +124,29 @@
 // A start waited up to a whole report's interval for a busy machine's next report.
 // A higher term makes the worker report at once, but not while an answer under a
 // lower one may still be on its way, nor more often than workers heed it.
-func TestBusyMachineIsNudged(t *testing.T) {
+func TestBusyMachineIsPrompted(t *testing.T) {
 	h, m := testHolder()
 	loop := &directLoop{stillLoop: stillLoop{now: core.Time(10 * time.Second)}}
 	h.Loop, h.Workers = loop, worker.NewClient(loop)
 	h.Config.Workers.Report, h.Config.Workers.Lease = 4*time.Second, 22*time.Second
-	m.addr, m.season, m.tally, m.nudged = "x:1", 1, 1, core.Time(-time.Hour)
+	m.addr, m.season, m.tally, m.prompted = "x:1", 1, 1, core.Time(-time.Hour)
 	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: planned}
 	m.add(s)
 	m.reported = loop.now
-	h.nudge(m)
-	if len(loop.shown) > 0 || !h.spare.short {
+	h.prompt(m)
+	if len(loop.shown) > 0 || !h.reservedTerms.short {
 		t.Fatalf("shown %v without a term in stock", loop.shown)
 	}
-	h.spare.next, h.spare.last = 100, 200
+	h.reservedTerms.next, h.reservedTerms.last = 100, 200
 	m.answered = loop.now
-	h.nudge(m)
+	h.prompt(m)
 	if len(loop.shown) > 0 {
-		t.Fatal("nudged while an answer is on its way")
+		t.Fatal("prompted while an answer is on its way")
 	}
 	for range 100 { // ten seconds
 		loop.now = loop.now.Add(100 * time.Millisecond)
 		m.reported = loop.now.Add(-time.Second)
-		h.nudge(m)
+		h.prompt(m)
 	}
 	if len(loop.shown) != 1 || loop.shown[0] != 100 || h.termOf(m) != 100 {
 		t.Fatalf("shown %v, commanded under %d", loop.shown, h.termOf(m))
@@ -197,7 +197,7 @@
 		h.blame(first, bad, api.CauseError) // many of its tasks, on one machine
 		h.blame(first, good, api.CauseError)
 	}
-	if bad.probing() || waiting("req-1") != 40 || waiting("req-2") != 40 || first.shunned != 0 {
+	if bad.probing() || waiting("req-1") != 40 || waiting("req-2") != 40 || first.unreliable != 0 {
 		t.Fatal("failures on one machine are evidence of neither")
 	}
 	h.blame(second, bad, api.CauseError)
@@ -219,8 +219,8 @@
 	h.acquit(good)
 	h.finish(good, 0)
 	h.blame(first, good, api.CauseError)
-	if first.shunned == 0 || good.probing() || waiting("req-2") == 0 {
-		t.Fatal("the machine that fails a good job is not shunned")
+	if first.unreliable == 0 || good.probing() || waiting("req-2") == 0 {
+		t.Fatal("the machine that fails a good job is not unreliable")
 	}
 	// And the first one works after all: it is at once at its full width.
 	h.acquit(bad)
@@ -326,23 +326,23 @@
 
 // A machine whose reports reach nobody answers commands all the same. That alone does not
 // make it hear: starts travel in answers to reports.
-func TestMuteMachineStaysDeaf(t *testing.T) {
+func TestMachineWithoutReportsStaysUnreachable(t *testing.T) {
 	h, m := testHolder()
 	loop := h.Loop.(*stillLoop)
-	m.reported, m.deaf = loop.now.Add(time.Second), true
+	m.reported, m.unreachable = loop.now.Add(time.Second), true
 	loop.now = loop.now.Add(20 * time.Second)
 	answer := func(tally uint64) *api.Report {
 		return &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: tally, Term: 7}
 	}
 	h.take(m, answer(1), false, loop.now)
-	if !m.deaf || h.ready(m) {
+	if !m.unreachable || h.ready(m) {
 		t.Fatal("it counts as hearing without a report")
 	}
 	m.reported = loop.now
 	h.take(m, answer(2), true, loop.now)
 	h.take(m, answer(3), false, loop.now)
-	if m.deaf || !h.ready(m) {
-		t.Fatal("it reports and answers, and still counts as deaf")
+	if m.unreachable || !h.ready(m) {
+		t.Fatal("it reports and answers, and still counts as unreachable")
 	}
 }
 
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// unplan drops plans for a machine that does not fetch them.
-func (h *Holder) unplan(m *machine) {
+// cancelPlans drops plans for a machine that does not fetch them.
+func (h *Holder) cancelPlans(m *machine) {
 	for _, s := range m.list() {
 		if s.state == planned {
 			h.setOff(s, "")
@@ -39,7 +39,7 @@
 }
 
 func (h *Holder) usable(m *machine) bool {
-	return m.state == live && m.fenced && !m.deaf && m.notice == 0 && !m.lost && m.total.CPUs > 0 &&
+	return m.state == live && m.fenced && !m.unreachable && m.notice == 0 && !m.lost && m.total.CPUs > 0 &&
 		!h.unsettled(m, m.lowering) && !h.unsettled(m, m.leaving)
 }
 
@@ -69,7 +69,7 @@
 		if !h.usable(m) {
 			continue
 		}
-		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Shunned: m.shunned > now, Asked: m.asked, Tasks: len(m.slots), MaxTasks: placement.MaxTasks}
+		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Unreliable: m.unreliable > now, Asked: m.asked, Tasks: len(m.slots), MaxTasks: placement.MaxTasks}
 		m.room.note(now, p.Free())
 		p.LastingRoom = m.room.least()
 		p.KeptFor, p.Kept = kept[capacity.Kind{Type: m.typ, Spot: m.spot}]
@@ -85,7 +85,7 @@
 		}
 		machines = append(machines, p)
 	}
-	h.standBack(jobs, machines, teams)
+	h.deferArrays(jobs, machines, teams)
 	for _, j := range jobs {
 		j.NoChoice = capacity.NoChoice(j, types, kept)
 	}
@@ -102,22 +102,22 @@
 	h.flushReady()
 }
 
-// standBack chooses, team by team, the arrays that give way where not all can be
+// deferArrays chooses, team by team, the arrays that give way where not all can be
 // in time. A team can use what its arrays have and what is free, or what it is
 // guaranteed, up to its limit.
-func (h *Holder) standBack(jobs []*placement.Job, machines []*placement.Machine, teams map[string]*placement.Team) {
+func (h *Holder) deferArrays(jobs []*placement.Job, machines []*placement.Machine, teams map[string]*placement.Team) {
 	free := 0.0
 	for _, m := range machines {
 		if !m.Kept && !m.Asked {
 			free += m.Free().CPUs
 		}
 	}
-	hasty := map[string][]*placement.Job{}
+	timed := map[string][]*placement.Job{}
 	listed := map[core.JobID]bool{}
 	for _, j := range jobs {
 		listed[j.ID] = true
-		if len(j.Haste.Due) > 0 && j.Late == 0 {
-			hasty[j.Team] = append(hasty[j.Team], j)
+		if len(j.Timing.Due) > 0 && j.Late == 0 {
+			timed[j.Team] = append(timed[j.Team], j)
 		}
 	}
 	have := map[string]float64{}
@@ -134,8 +134,8 @@
 	for _, t := range h.Mirror.Teams(h.Config.Teams) {
 		team := teams[t.Name]
 		cpus := min(max(have[t.Name]+free, t.CPUs), t.CPUsMax-(team.Used.CPUs-have[t.Name]))
-		placement.StandBack(h.Loop.Wall(), cpus, running[t.Name], hasty[t.Name])
-		placement.Turns(h.Loop.Wall(), cpus, running[t.Name], hasty[t.Name])
+		placement.Defer(h.Loop.Wall(), cpus, running[t.Name], timed[t.Name])
+		placement.OrderByDue(h.Loop.Wall(), cpus, running[t.Name], timed[t.Name])
 	}
 }
 
@@ -226,7 +226,7 @@
 				p.Waiting = 1
 			}
 		}
-		p.Haste = placement.Haste{Due: capacity.Due(h.Config.Aims, j.spec, j.sent, j.at, j.due), Work: j.work()}
+		p.Timing = placement.Timing{Due: capacity.Due(h.Config.Aims, j.spec, j.sent, j.at, j.due), Work: j.work()}
 		for id, until := range j.avoid {
 			if until > now {
 				p.Avoid[id] = true
--- a/internal/block/preempt.go
+++ b/internal/block/preempt.go
@@ -129,9 +129,9 @@
 	if t == nil || n <= 0 || t.Holds(j) {
 		return 0
 	}
-	if own := h.jobs[j.ID]; !j.Gang && !j.Guaranteed && len(j.Haste.Due) > 0 {
+	if own := h.jobs[j.ID]; !j.Gang && !j.Guaranteed && len(j.Timing.Due) > 0 {
 		live := own.live()
-		n = min(n, capacity.Pace(own.spec.Tasks-own.done.Len(), j.Estimate, time.Duration(j.Haste.Due[0]-h.Loop.Wall())*time.Millisecond)-live)
+		n = min(n, capacity.Pace(own.spec.Tasks-own.done.Len(), j.Estimate, time.Duration(j.Timing.Due[0]-h.Loop.Wall())*time.Millisecond)-live)
 	}
 	room := t.Max.Minus(t.Used)
 	if j.Gang {
--- a/internal/block/nudge.go
+++ b/internal/block/prompt.go
@@ -11,29 +11,29 @@
 // A start goes out only in the answer to a report, and the next report of a busy
 // machine may be seconds away. A worker that sees a higher term reports at once,
 // so a machine with a start planned is shown one, without orders. The terms come
-// from the one counter, drawn under the block's key: they are below that of any
+// from the one counter, allocated under the block's key: they are below that of any
 // later grant, and nobody else has them.
 
 const (
-	termStock = 500
-	drawPause = 2 * time.Second
+	termStock       = 500
+	allocationPause = 2 * time.Second
 	// answerFlight is how long an answer may be on its way. Overtaken by a higher
 	// term, it is dropped by the worker, starts and all.
 	answerFlight = 500 * time.Millisecond
-	// worthNudge is how far away a report must be to be worth asking for.
-	worthNudge = 600 * time.Millisecond
+	// worthPrompt is how far away a report must be to be worth asking for.
+	worthPrompt = 600 * time.Millisecond
 )
 
-// drawTerms fills the stock, if there is a machine for which none is high enough.
-func (h *Holder) drawTerms() {
-	if h.drawing || !h.spare.short {
+// allocateTerms fills the stock, if there is a machine for which none is high enough.
+func (h *Holder) allocateTerms() {
+	if h.allocating || !h.reservedTerms.short {
 		return
 	}
 	b, ok := h.Mirror.Blocks[h.number]
 	if !ok || b.Record.Term != h.term || b.Record.Holder != h.Host {
 		return
 	}
-	h.drawing = true
+	h.allocating = true
 	c := h.Mirror.Term
 	t := api.Txn{
 		If:   []api.Condition{{Key: state.KeyBlock(h.number), Version: uint64(b.Version)}, {Key: state.KeyTerm, Version: uint64(c.Version)}},
@@ -41,29 +41,29 @@
 	}
 	h.State.TxnLater(t, func(r state.Result) {
 		if r.Outcome == state.Applied {
-			h.spare.next, h.spare.last, h.spare.short = c.Record.Last+1, c.Record.Last+termStock, false
+			h.reservedTerms.next, h.reservedTerms.last, h.reservedTerms.short = c.Record.Last+1, c.Record.Last+termStock, false
 		}
-		// Otherwise the counter has moved on, or may have: what was drawn then is
+		// Otherwise the counter has moved on, or may have: what was allocated then is
 		// given up, and the mirror shows it before the next try.
-		h.Loop.After(drawPause, func() { h.drawing = false })
+		h.Loop.After(allocationPause, func() { h.allocating = false })
 	})
 }
 
-// nudge shows a machine for which a start is planned a higher term, if its next
+// prompt shows a machine for which a start is planned a higher term, if its next
 // report is far away. Workers heed that once in half a lease.
-func (h *Holder) nudge(m *machine) {
+func (h *Holder) prompt(m *machine) {
 	now := h.Loop.Now()
 	w := h.Config.Workers
-	if m.held != nil || m.asking || m.addr == "" || m.season == 0 || now.Sub(m.nudged) < w.Lease/2 || now.Sub(m.answered) < answerFlight ||
-		m.reported.Add(w.Report*3/4).Sub(now) < worthNudge || !h.startable(m) {
+	if m.held != nil || m.asking || m.addr == "" || m.season == 0 || now.Sub(m.prompted) < w.Lease/2 || now.Sub(m.answered) < answerFlight ||
+		m.reported.Add(w.Report*3/4).Sub(now) < worthPrompt || !h.startable(m) {
 		return
 	}
-	if h.spare.next > h.spare.last || h.spare.next <= h.termOf(m) {
-		h.spare.short = true
+	if h.reservedTerms.next > h.reservedTerms.last || h.reservedTerms.next <= h.termOf(m) {
+		h.reservedTerms.short = true
 		return
 	}
-	m.nudged, m.term = now, h.spare.next
-	h.spare.next++
+	m.prompted, m.term = now, h.reservedTerms.next
+	h.reservedTerms.next++
 	m.asking = true
 	h.Workers.Fence(m.addr, m.term, m.season, func(rep *api.Report) {
 		m.asking = false
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -104,7 +104,7 @@
 	for _, id := range core.Keys(h.machines) {
 		m := h.machines[id]
 		if m.held == nil {
-			h.nudge(m)
+			h.prompt(m)
 		} else if h.urgent(m) {
 			h.flush(m)
 		}
@@ -131,7 +131,7 @@
 
 // ready tells whether starts may be sent to a machine.
 func (h *Holder) ready(m *machine) bool {
-	return h.state == placing && m.up && m.fenced && !m.deaf && m.state == live && !h.unsettled(m, m.lowering)
+	return h.state == placing && m.up && m.fenced && !m.unreachable && m.state == live && !h.unsettled(m, m.lowering)
 }
 
 // orders composes the commands for a machine that has just reported.
@@ -203,7 +203,7 @@
 	if season > m.season {
 		if m.fenced && m.season > 0 && m.state == live && now.Sub(m.answer) < h.Config.Workers.Lease/2 {
 			// Its lease ran out though we answered its reports.
-			h.setDeaf(m, true)
+			h.setUnreachable(m, true)
 		}
 		// The worker has killed and forgotten everything of earlier seasons,
 		// and drops answers to reports of those.
@@ -219,7 +219,7 @@
 	if !viaReport && (m.reported == 0 || now.Sub(m.reported) < h.quiet()) {
 		// It answered a command. One whose reports reach nobody gets no work either: it
 		// cannot be told to start it, and was planned for again and again.
-		h.setDeaf(m, false)
+		h.setUnreachable(m, false)
 	}
 	if rep.NoticeS != nil {
 		if m.notice == 0 {
@@ -252,7 +252,7 @@
 				continue
 			}
 			if viaReport {
-				h.setDeaf(m, true)
+				h.setUnreachable(m, true)
 			}
 			h.setOff(s, "start was not executed")
 			continue
@@ -275,18 +275,18 @@
 	return true
 }
 
-// setDeaf notes whether what we say reaches a machine. One that reports but does
+// setUnreachable notes whether what we say reaches a machine. One that reports but does
 // not act on the answers gets no work until it has answered a command; else its
 // starts were lost again and again, each with a lease.
-func (h *Holder) setDeaf(m *machine, deaf bool) {
-	if m.deaf == deaf {
+func (h *Holder) setUnreachable(m *machine, unreachable bool) {
+	if m.unreachable == unreachable {
 		return
 	}
-	h.Log.Info("machine hears us", "machine", m.id, "hears", !deaf)
-	m.deaf, m.deafSince = deaf, h.Loop.Now()
+	h.Log.Info("machine hears us", "machine", m.id, "hears", !unreachable)
+	m.unreachable, m.unreachableSince = unreachable, h.Loop.Now()
 	h.dirty = true
-	if deaf {
-		h.unplan(m)
+	if unreachable {
+		h.cancelPlans(m)
 		h.fence(m)
 	}
 }
@@ -365,7 +365,7 @@
 // blame tells bad machines from jobs submitted with a mistake by who else succeeds
 // where. A failure counts against its machine once the job has completed a task
 // elsewhere, not before: jobs with a mistake fail on every machine, and the machines
-// that met two of them were shunned. A job that has failed on two machines and
+// that met two of them were unreliable. A job that has failed on two machines and
 // completed nothing is tried one task at a time, ever more seldom, until one
 // completes: each of its tasks took its turn on machines, and its gangs held a
 // reservation, until its user cancelled it.
@@ -403,7 +403,7 @@
 // failed counts a failure against a machine.
 func (h *Holder) failed(m *machine) {
 	if m.fails++; m.fails >= 2 {
-		m.shunned = h.Loop.Now().Add(shunTime)
+		m.unreliable = h.Loop.Now().Add(unreliableTime)
 	}
 }
 
@@ -422,5 +422,5 @@
 // part, may still be carried out. After one that calls it unused, a start would be
 // unknown to a later holder; after one that releases it, so would all planned there.
 func (h *Holder) unsettled(m *machine, sent core.Revision) bool {
-	return sent != 0 && sent == h.Mirror.Shelf(h.number).VersionOf(m.id)
+	return sent != 0 && sent == h.Mirror.Inventory(h.number).VersionOf(m.id)
 }
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -89,33 +89,33 @@
 	// lowering is the same for a write that calls the machine unused.
 	lowering core.Revision
 
-	season  core.Season
-	tally   core.Tally
-	floor   core.Season // reports of this season and before are dead
-	fenced  bool
-	unheard core.Time // since when it is answered without showing our term
-	deaf    bool      // it reports, but what we say does not reach it
-	// deafSince is when deaf last changed.
-	deafSince core.Time
-	asking    bool
-	unheeded  int       // questions in a row that got no answer
-	askNext   core.Time // not to be asked again before
-	joined    core.Time
-	heard     core.Time
-	reported  core.Time // its last report
-	answered  core.Time // our last answer to one
-	nudged    core.Time // when it was last shown a higher term to make it report
-	answer    core.Time // last time at which a holder may have renewed its lease
-	notice    core.Time // when the cloud takes it; 0: no notice
-	idle      core.Time // since when nothing is booked; 0: something is
-	fails     int
-	shunned   core.Time
-	images    map[string]bool
-	recent    []string
-	slots     map[slotKey]*slot
-	sorted    []*slot // what list returns, as long as no slot comes or goes
-	held      *held   // a report that waits for its answer
-	room      lastingRoom
+	season      core.Season
+	tally       core.Tally
+	floor       core.Season // reports of this season and before are dead
+	fenced      bool
+	unheard     core.Time // since when it is answered without showing our term
+	unreachable bool      // it reports, but what we say does not reach it
+	// unreachableSince is when unreachable last changed.
+	unreachableSince core.Time
+	asking           bool
+	unheeded         int       // questions in a row that got no answer
+	askNext          core.Time // not to be asked again before
+	joined           core.Time
+	heard            core.Time
+	reported         core.Time // its last report
+	answered         core.Time // our last answer to one
+	prompted         core.Time // when it was last shown a higher term to make it report
+	answer           core.Time // last time at which a holder may have renewed its lease
+	notice           core.Time // when the cloud takes it; 0: no notice
+	idle             core.Time // since when nothing is booked; 0: something is
+	fails            int
+	unreliable       core.Time
+	images           map[string]bool
+	recent           []string
+	slots            map[slotKey]*slot
+	sorted           []*slot // what list returns, as long as no slot comes or goes
+	held             *held   // a report that waits for its answer
+	room             lastingRoom
 }
 
 // held is a report whose answer is kept back for a moment: a worker with
@@ -253,7 +253,7 @@
 }
 
 // noteWait follows since when the job has had nothing on a machine. What it waited before
-// its holder had the block is not known; without counting it, jobs waited 90 s beside room
+// its holder had the block is not known; without counting it, jobs waited 90 s beside free capacity
 // whenever their block changed hands in between.
 func (j *job) noteWait(now core.Time, age time.Duration) {
 	switch {
--- a/internal/block/write.go
+++ b/internal/block/write.go
@@ -64,7 +64,7 @@
 // writeMachines adds what is to change in the records of the block's machines.
 func (h *Holder) writeMachines(t *api.Txn) {
 	now := h.Loop.Now()
-	own, pool := h.Mirror.Shelf(h.number), h.Mirror.Shelf(state.PoolShelf)
+	own, pool := h.Mirror.Inventory(h.number), h.Mirror.Inventory(state.PoolInventory)
 	edit := h.Mirror.Edit(h.Config.StateLim, max(h.batch()/2, 2), h.number+1)
 	for r := range own.All() {
 		m := h.machines[r.ID]
@@ -76,10 +76,10 @@
 			continue
 		}
 		version := own.VersionOf(r.ID)
-		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && !m.deaf && m.state == live && (m.leaving == version || h.releasable(m, now)) {
+		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && !m.unreachable && m.state == live && (m.leaving == version || h.releasable(m, now)) {
 			free := r
 			free.Up, free.Asked, free.Doomed, free.Addr, free.Seen, free.Term = false, false, false, m.addr, h.termOf(m), 0
-			if edit.Move(h.number, state.PoolShelf, free) {
+			if edit.Move(h.number, state.PoolInventory, free) {
 				h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
 				m.leaving = version
 			}
@@ -153,7 +153,7 @@
 // shouldReturn tells whether a machine that does not answer should be given up.
 func (h *Holder) shouldReturn(m *machine, now core.Time) bool {
 	w := h.Config.Workers
-	if m.deaf && now.Sub(m.deafSince) > 3*w.Lease {
+	if m.unreachable && now.Sub(m.unreachableSince) > 3*w.Lease {
 		return m.empty()
 	}
 	switch m.state {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -19,10 +19,10 @@
 	Remaining int
 	Running   int       // of these, as far as is known
 	Deadline  core.Wall // 0: none
-	// Soon: it waits for jobs that run. It claims what is free once all others have, and
+	// Expected: it waits for jobs that run. It claims what is free once all others have, and
 	// is rented for, so that machines are up when it may run; none is given to its block
 	// before.
-	Soon bool
+	Expected bool
 }
 
 // Machine is a machine of a block or of the pool.
@@ -145,8 +145,8 @@
 	})
 	// Idle-time work has what is left over, also in its own block: what it used there
 	// was no room for others, and they waited until it ended by itself.
-	soon := only(jobs, func(j *Job) bool { return j.Soon })
-	jobs = only(jobs, func(j *Job) bool { return !j.Soon })
+	soon := only(jobs, func(j *Job) bool { return j.Expected })
+	jobs = only(jobs, func(j *Job) bool { return !j.Expected })
 	begin := first(jobs)
 	jobs = alike(jobs)
 	open := p.share(begin)
@@ -156,7 +156,7 @@
 		open = append(open, p.share(only(jobs, func(j *Job) bool { return !j.Idle() && !j.Gang && j.Rank == rank }))...)
 	}
 	open = append(open, p.share(only(jobs, func(j *Job) bool { return j.Idle() }))...)
-	p.plan.Want.Short = p.missing(only(in.Jobs, func(j *Job) bool { return !j.Soon }))
+	p.plan.Want.Short = p.missing(only(in.Jobs, func(j *Job) bool { return !j.Expected }))
 	for _, u := range open {
 		// Nothing is rented for a job that fails wherever it runs.
 		if u.n > 0 && !u.j.Probe {
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -48,7 +48,7 @@
 func TestMachinesAreReadyForTheNextStep(t *testing.T) {
 	step := func(soon bool) *Job {
 		j := gangOf("req-2", 16, 1)
-		j.Gang, j.Spot, j.Timed, j.Block, j.Soon = false, true, true, 1, soon
+		j.Gang, j.Spot, j.Timed, j.Block, j.Expected = false, true, true, 1, soon
 		return j
 	}
 	idle := &Machine{ID: "n-1", Type: "small", Zone: "a", Spot: true, Block: NoBlock, Ready: true, Free: time.Hour}
@@ -120,7 +120,7 @@
 		t.Fatalf("16 CPUs for 40 tasks, and %+v is rented", p.Rent)
 	}
 	// Work for which nobody waits gets no ordinary machines however much of it there
-	// is, beyond a little where it has nothing at all. A guest's 2,600 CPUs of it took
+	// is, beyond a little where it has nothing at all. A borrowing team's 2,600 CPUs of it took
 	// 60 of them at three times the price (docs/incidents/inc-b616.md).
 	j.Timed, j.Remaining, j.Tasks = false, 90, 90
 	if p := Make(in); len(p.Rent) != 0 || p.Want.Spot != 0 {
@@ -132,8 +132,8 @@
 	}
 }
 
-// Jobs of a swarm claim room together, and as much as one by one.
-func TestSwarmClaimsTogether(t *testing.T) {
+// Jobs of one task each claim room together, and as much as one by one.
+func TestSingleTaskJobsClaimTogether(t *testing.T) {
 	var jobs []*Job
 	for i := range 50 {
 		j := &Job{Remaining: 1, Deadline: core.Wall(100_000 + i)}
--- a/internal/capacity/late.go
+++ b/internal/capacity/late.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// lateFor bounds how long a job stands back for being late: work must not
+	// lateFor bounds how long a job is deferred for being late: work must not
 	// wait for ever because it could not be in time.
 	lateFor = 15 * time.Minute
 	// beginBy is how long a job may have waited without a task started before it
--- a/internal/capacity/rent.go
+++ b/internal/capacity/rent.go
@@ -148,13 +148,13 @@
 	for _, j := range jobs {
 		if !j.Gang && j.Spot && j.Deadline > 0 && j.Remaining > 0 && !j.Probe {
 			j.Late = 0
-			j.Haste = placement.Haste{Due: []core.Wall{j.Deadline}, Work: float64(j.Remaining) * j.Need.CPUs * j.Estimate.Seconds()}
+			j.Timing = placement.Timing{Due: []core.Wall{j.Deadline}, Work: float64(j.Remaining) * j.Need.CPUs * j.Estimate.Seconds()}
 			byTeam[j.Team] = append(byTeam[j.Team], &j.Job)
 		}
 	}
 	var possible []*placement.Job
 	for _, team := range core.Keys(byTeam) {
-		placement.StandBack(p.in.Now, p.in.TeamMax[team], 0, byTeam[team])
+		placement.Defer(p.in.Now, p.in.TeamMax[team], 0, byTeam[team])
 		for _, j := range byTeam[team] {
 			if j.Late == 0 {
 				possible = append(possible, j)
@@ -176,17 +176,17 @@
 	}
 	for rank := placement.TopRank; rank >= 0; rank-- {
 		line := slices.DeleteFunc(slices.Clone(possible), func(j *placement.Job) bool { return j.Rank != rank })
-		placement.StandBack(p.in.Now, max(have, 0), 0, line)
+		placement.Defer(p.in.Now, max(have, 0), 0, line)
 		for _, j := range line {
-			left := float64(j.Haste.Due[0]-p.in.Now) / 1000
+			left := float64(j.Timing.Due[0]-p.in.Now) / 1000
 			switch {
 			case left <= 0:
 			case j.Late > 0:
-				cpus += j.Haste.Work / left
+				cpus += j.Timing.Work / left
 			default:
 				// What those of a higher rank take is not there for others, however
 				// much time all of them have.
-				have -= min(j.Haste.Work/left/pace, float64(j.Tasks)*j.Need.CPUs)
+				have -= min(j.Timing.Work/left/pace, float64(j.Tasks)*j.Need.CPUs)
 			}
 		}
 	}
--- a/internal/capacity/share.go
+++ b/internal/capacity/share.go
@@ -128,7 +128,7 @@
 }
 
 // alike puts arrays that stand together in the line and differ in nothing that
-// matters here into one: of a swarm of jobs of one task each, each claimed its room
+// matters here into one: of thousands of jobs of one task each, each claimed its room
 // by looking at every machine.
 func alike(jobs []*Job) (out []*Job) {
 	// What may be late, or is a single task, claims all that remains of it.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -345,7 +345,7 @@
 		}
 		seen[team.Name] = true
 		if team.CPUsMax == 0 {
-			// A limit of 0 says that there is none. Refused as wrong, a guest team's
+			// A limit of 0 says that there is none. Refused as wrong, a borrowing team's
 			// line kept every controller from starting (docs/incidents/inc-39d9.md).
 			team.CPUsMax = Unlimited
 			if team.GPUsMax == 0 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -79,18 +79,18 @@
 	}
 }
 
-// A guest team has neither a guarantee nor a limit: 0 says that there is none. Taken
+// A borrowing team has neither a guarantee nor a limit: 0 says that there is none. Taken
 // for a mistake, that line kept every controller from starting.
 func TestTeamWithoutLimit(t *testing.T) {
-	guest := "\n[[settings.teams]]\nname = \"guest\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"
-	c, err := parse([]byte(good + guest))
+	borrower := "\n[[settings.teams]]\nname = \"borrower\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"
+	c, err := parse([]byte(good + borrower))
 	if err != nil || len(c.Teams) != 2 || c.Teams[1].CPUs != 0 || c.Teams[1].CPUsMax < 1e9 || c.Teams[1].GPUsMax < 1e9 {
 		t.Fatalf("%+v, %v", c, err)
 	}
 	if c.Teams[0].CPUsMax != 2 || c.Teams[0].GPUsMax != 0 {
 		t.Fatalf("a limit is lost: %+v", c.Teams[0])
 	}
-	if _, err = parse([]byte(good + strings.Replace(guest, "cpus_max = 0.0", "cpus_max = -1.0", 1))); err == nil || !strings.Contains(err.Error(), "settings.teams[1].cpus_max") {
+	if _, err = parse([]byte(good + strings.Replace(borrower, "cpus_max = 0.0", "cpus_max = -1.0", 1))); err == nil || !strings.Contains(err.Error(), "settings.teams[1].cpus_max") {
 		t.Fatal(err)
 	}
 }
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -17,17 +17,17 @@
 func TestServicesHaveSeatsOfTheirOwn(t *testing.T) {
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{}") }))
 	defer service.Close()
-	deaf, err := net.Listen("tcp4", "127.0.0.1:0")
+	unanswering, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer deaf.Close()
+	defer unanswering.Close()
 	loop := core.NewLoop(64)
 	go loop.Run()
 	defer loop.Stop()
 	c := New(loop, 4, service.Listener.Addr().String())
 	for range 10 {
-		c.Call(core.Request{Addr: deaf.Addr().String(), Method: "GET", Path: "/inspect", Timeout: 3 * time.Second}, func(core.Response) {})
+		c.Call(core.Request{Addr: unanswering.Addr().String(), Method: "GET", Path: "/inspect", Timeout: 3 * time.Second}, func(core.Response) {})
 	}
 	done := make(chan core.Response, 1)
 	c.Call(core.Request{Addr: service.Listener.Addr().String(), Method: "POST", Path: "/grants/1/renew", Timeout: 2 * time.Second}, func(r core.Response) { done <- r })
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -30,9 +30,9 @@
 	Workers *worker.Client
 	// Kept lists the kinds of machine that are always kept for gangs.
 	Kept func() capacity.KeptKinds
-	// Deaf names the controller that should hold a block whose holder does not
+	// Isolated names the controller that should hold a block whose holder does not
 	// hear its machines.
-	Deaf func(block int) (core.Host, bool)
+	Isolated func(block int) (core.Host, bool)
 	// Settled tells whether a block's holder has found its machines.
 	Settled func(block int) bool
 	// Failing lists the jobs that have only failed so far.
@@ -64,19 +64,19 @@
 	sending map[core.MachineID]bool // to be returned, not yet confirmed
 	due     []string                // of these, not yet asked for
 	// returning: a request to return machines is on its way or about to be.
-	returning bool
-	done      map[core.MachineID]bool // returns answered 200, not yet written
-	rented    []state.Machine         // rented, not yet written
-	rentals   int                     // in flight
-	stable    map[core.Host]core.Time
-	notes     []note // of the transaction being composed
-	deafTo    map[core.Tenure]deafness
-	trend     capacity.Trend
-	boots     capacity.Boots
-	booting   map[core.MachineID]bool // not known to have come up yet
-	planAt    core.Time               // of the last plan
-	planDue   bool                    // the next one is on its way
-	deafAt    core.Time               // when holders were last looked at
+	returning   bool
+	done        map[core.MachineID]bool // returns answered 200, not yet written
+	rented      []state.Machine         // rented, not yet written
+	rentals     int                     // in flight
+	stable      map[core.Host]core.Time
+	notes       []note // of the transaction being composed
+	isolations  map[core.Tenure]isolation
+	trend       capacity.Trend
+	boots       capacity.Boots
+	booting     map[core.MachineID]bool // not known to have come up yet
+	planAt      core.Time               // of the last plan
+	planDue     bool                    // the next one is on its way
+	isolationAt core.Time               // when holders were last looked at
 }
 
 // New starts to lead under the record that the mirror shows.
@@ -84,7 +84,7 @@
 	l := &Leader{
 		Env: env, record: record, list: map[core.MachineID]api.ListedMachine{}, closed: map[capacity.Offer]core.Time{},
 		free: map[core.MachineID]core.Time{}, unknown: worker.NewProber(env.Workers, maxAsking), sending: map[core.MachineID]bool{}, done: map[core.MachineID]bool{}, booting: map[core.MachineID]bool{},
-		stable: map[core.Host]core.Time{}, deafTo: map[core.Tenure]deafness{},
+		stable: map[core.Host]core.Time{}, isolations: map[core.Tenure]isolation{},
 	}
 	l.Log.Info("we lead", "term", record.Record.Term)
 	return l
@@ -104,12 +104,12 @@
 	// planPause is the least time between two plans: every change of any record
 	// asks for one, and with hundreds of machines and jobs each takes milliseconds.
 	planPause = 100 * time.Millisecond
-	// deafPause is the same for looking whether holders hear their machines.
-	deafPause  = 200 * time.Millisecond
-	closedFor  = 15 * time.Second
-	rebalance  = 1500 * time.Millisecond
-	maxReturns = 100 // in one request, by the protocol
-	maxAsking  = 50
+	// isolationPause is the same for looking whether holders hear their machines.
+	isolationPause = 200 * time.Millisecond
+	closedFor      = 15 * time.Second
+	rebalance      = 1500 * time.Millisecond
+	maxReturns     = 100 // in one request, by the protocol
+	maxAsking      = 50
 )
 
 // Tick does what is due.
@@ -211,8 +211,8 @@
 	args []any
 }
 
-// draw takes the next n terms from the counter; the first is returned.
-func (l *Leader) draw(t *api.Txn, n int) core.Term {
+// allocateTerms takes the next n terms from the counter; the first is returned.
+func (l *Leader) allocateTerms(t *api.Txn, n int) core.Term {
 	c := l.Mirror.Term
 	t.If = append(t.If, api.Condition{Key: state.KeyTerm, Version: uint64(c.Version)})
 	t.Then = append(t.Then, state.Put(state.KeyTerm, state.TermCounter{Last: c.Record.Last + core.Term(n)}))
@@ -259,7 +259,7 @@
 		if len(live) == 0 {
 			return
 		}
-		first := l.draw(t, n)
+		first := l.allocateTerms(t, n)
 		for i := range n {
 			m := live[i%len(live)]
 			out[i] = &state.Block{Number: i, Holder: m.Host, Tenure: m.Tenure, Term: first + core.Term(i)}
@@ -361,7 +361,7 @@
 	}
 	// Controllers that lately did not hear their machines get no blocks as long
 	// as others can take them.
-	if hearing := slices.DeleteFunc(slices.Clone(live), func(m state.Member) bool { return now < l.deafTo[m.Tenure].until }); len(hearing) > 0 {
+	if hearing := slices.DeleteFunc(slices.Clone(live), func(m state.Member) bool { return now < l.isolations[m.Tenure].until }); len(hearing) > 0 {
 		live = hearing
 	}
 	var moves []*state.Block
@@ -376,9 +376,9 @@
 		count[to.Host]++
 		moves = append(moves, c)
 	}
-	if len(moves) == 0 && now.Sub(l.deafAt) >= deafPause {
-		l.deafAt = now
-		moves = l.leaveDeaf(numbers, live, now)
+	if len(moves) == 0 && now.Sub(l.isolationAt) >= isolationPause {
+		l.isolationAt = now
+		moves = l.moveFromIsolated(numbers, live, now)
 	}
 	if len(moves) == 0 {
 		to := fewest()
@@ -397,7 +397,7 @@
 	if len(moves) == 0 {
 		return
 	}
-	first := l.draw(t, len(moves))
+	first := l.allocateTerms(t, len(moves))
 	for i, b := range moves {
 		l.note("granting block", "block", b.Number, "from", l.Mirror.Blocks[b.Number].Record.Holder, "to", b.Holder, "term", first+core.Term(i))
 		b.Term = first + core.Term(i)
@@ -405,9 +405,9 @@
 	}
 }
 
-// deafness is how long a controller counts as not hearing machines. It is kept by
+// isolation is how long a controller counts as not hearing machines. It is kept by
 // tenure: a restarted controller starts afresh.
-type deafness struct {
+type isolation struct {
 	until core.Time
 	last  time.Duration
 }
@@ -416,15 +416,15 @@
 // it still does not, and next to nothing if it would. After 30 s, cuts of 50 s cost a
 // second time.
 const (
-	deafTime    = 60 * time.Second
-	maxDeafTime = 4 * time.Minute
+	isolationTime    = 60 * time.Second
+	maxIsolationTime = 4 * time.Minute
 )
 
-// leaveDeaf moves a block away from a holder that is well with the state
+// moveFromIsolated moves a block away from a holder that is well with the state
 // service but does not hear the block's machines, to one that they come to.
-func (l *Leader) leaveDeaf(numbers []int, live []state.Member, now core.Time) []*state.Block {
+func (l *Leader) moveFromIsolated(numbers []int, live []state.Member, now core.Time) []*state.Block {
 	for _, n := range numbers {
-		host, ok := l.Deaf(n)
+		host, ok := l.Isolated(n)
 		if !ok {
 			continue
 		}
@@ -433,12 +433,12 @@
 				continue
 			}
 			b := l.Mirror.Blocks[n].Record
-			d := l.deafTo[b.Tenure]
+			d := l.isolations[b.Tenure]
 			if now >= d.until {
-				d.last = min(max(2*d.last, deafTime), maxDeafTime)
+				d.last = min(max(2*d.last, isolationTime), maxIsolationTime)
 			}
 			d.until = now.Add(d.last)
-			l.deafTo[b.Tenure] = d
+			l.isolations[b.Tenure] = d
 			l.note("holder does not hear its machines", "block", n, "holder", b.Holder, "heard_by", host)
 			c := b.Clone()
 			c.Holder, c.Tenure = m.Host, m.Tenure
--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -47,20 +47,20 @@
 	for k, n := range core.Keys(fresh) {
 		fresh[n] = l.Mirror.Term.Record.Last + 1 + core.Term(k)
 	}
-	drawn := false
+	allocated := false
 	for _, id := range core.Keys(plan.Assign) {
 		n := plan.Assign[id]
-		m, ok := edit.Find(state.PoolShelf, id)
+		m, ok := edit.Find(state.PoolInventory, id)
 		b := l.Mirror.Blocks[n].Record
 		if !ok || b == nil {
 			continue
 		}
 		m.Term = fresh[n]
 		m.Seen, m.Up, m.Asked, m.Lost, m.Doomed = 0, false, false, false, false
-		if !edit.Move(state.PoolShelf, n, m) {
+		if !edit.Move(state.PoolInventory, n, m) {
 			break // the rest goes with the next transaction
 		}
-		under[n], drawn = true, true
+		under[n], allocated = true, true
 		l.note("machine goes to a block", "machine", id, "type", m.Type, "block", n)
 	}
 	for _, id := range plan.Ask {
@@ -76,15 +76,15 @@
 		}
 	}
 	for _, id := range plan.Return {
-		if m, ok := edit.Find(state.PoolShelf, id); ok && m.Fate == state.Free {
+		if m, ok := edit.Find(state.PoolInventory, id); ok && m.Fate == state.Free {
 			m.Fate = state.Returning
-			if edit.Set(state.PoolShelf, m) {
+			if edit.Set(state.PoolInventory, m) {
 				l.note("machine is returned", "machine", id, "type", m.Type)
 			}
 		}
 	}
-	if drawn {
-		l.draw(t, len(fresh))
+	if allocated {
+		l.allocateTerms(t, len(fresh))
 	}
 	for _, n := range core.Keys(under) {
 		l.underBlock(t, n)
@@ -99,7 +99,7 @@
 func (l *Leader) noteGone(edit *state.Edit) {
 	wall := l.Loop.Wall()
 	for _, id := range core.Keys(l.done) {
-		m, pooled := edit.Find(state.PoolShelf, id)
+		m, pooled := edit.Find(state.PoolInventory, id)
 		_, held := l.Mirror.MachineBlock(id)
 		if !pooled && !held || pooled && m.Fate == state.Gone {
 			delete(l.done, id)
@@ -107,15 +107,15 @@
 		}
 		m.ID, m.Fate, m.Since = id, state.Gone, wall
 		if pooled {
-			edit.Set(state.PoolShelf, m)
+			edit.Set(state.PoolInventory, m)
 		} else {
-			edit.Add(state.PoolShelf, m)
+			edit.Add(state.PoolInventory, m)
 		}
 	}
 	listed := core.Wall(3*l.Config.CloudLim.ListLag.Milliseconds() + 20000)
-	for m := range l.Mirror.Shelf(state.PoolShelf).All() {
+	for m := range l.Mirror.Inventory(state.PoolInventory).All() {
 		if _, held := l.Mirror.MachineBlock(m.ID); m.Fate == state.Gone && !held && wall-m.Since > listed {
-			edit.Remove(state.PoolShelf, m.ID)
+			edit.Remove(state.PoolInventory, m.ID)
 		}
 	}
 }
@@ -124,7 +124,7 @@
 func (l *Leader) lookAtList(edit *state.Edit) {
 	for _, id := range core.Keys(l.list) {
 		m := l.list[id]
-		known, pooled := edit.Find(state.PoolShelf, id)
+		known, pooled := edit.Find(state.PoolInventory, id)
 		if m.Phase == api.MachineFailed {
 			if !pooled || known.Fate != state.Gone {
 				l.sendBack(id)
@@ -138,7 +138,7 @@
 			ID: id, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 			Since: l.Loop.Wall() - core.Wall(m.AgeS*1000), Seen: l.Mirror.Term.Record.Last,
 		}
-		if edit.Add(state.PoolShelf, adopted) {
+		if edit.Add(state.PoolInventory, adopted) {
 			l.note("machine adopted", "machine", id, "type", m.Type, "phase", m.Phase)
 		}
 	}
@@ -150,11 +150,11 @@
 	still := l.rented[:0]
 	for _, m := range l.rented {
 		_, held := l.Mirror.MachineBlock(m.ID)
-		if l.Mirror.Shelf(state.PoolShelf).VersionOf(m.ID) != 0 || held {
+		if l.Mirror.Inventory(state.PoolInventory).VersionOf(m.ID) != 0 || held {
 			continue
 		}
 		still = append(still, m)
-		edit.Add(state.PoolShelf, m)
+		edit.Add(state.PoolInventory, m)
 	}
 	l.rented = still
 }
@@ -171,14 +171,14 @@
 // returnMarked sends back machines whose return is durable: those of the pool
 // marked so, and those that a holder has given up.
 func (l *Leader) returnMarked() {
-	pool := l.Mirror.Shelf(state.PoolShelf)
+	pool := l.Mirror.Inventory(state.PoolInventory)
 	for m := range pool.All() {
 		if m.Fate == state.Returning {
 			l.sendBack(m.ID)
 		}
 	}
 	for _, n := range core.Keys(l.Mirror.Blocks) {
-		for m := range l.Mirror.Shelf(n).All() {
+		for m := range l.Mirror.Inventory(n).All() {
 			if known, ok := pool.Find(m.ID); m.Lost && (!ok || known.Fate != state.Gone) {
 				l.sendBack(m.ID)
 			}
@@ -265,7 +265,7 @@
 		p := waiting[id]
 		pending = append(pending, p)
 		doubtful[id] = l.boots.Doubtful(now, p, usual(p.Type))
-		if _, pooled := edit.Find(state.PoolShelf, id); pooled && l.boots.Hopeless(now, p, usual(p.Type)) {
+		if _, pooled := edit.Find(state.PoolInventory, id); pooled && l.boots.Hopeless(now, p, usual(p.Type)) {
 			hopeless = append(hopeless, id)
 		}
 	}
@@ -274,7 +274,7 @@
 	}
 	inPool := map[core.MachineID]bool{}
 	spoken := map[core.MachineID]bool{}
-	for _, m := range edit.All(state.PoolShelf) {
+	for _, m := range edit.All(state.PoolInventory) {
 		if m.Fate != state.Free {
 			spoken[m.ID] = true
 			continue
@@ -291,7 +291,7 @@
 		}
 	}
 	for _, n := range core.Keys(l.Mirror.Blocks) {
-		for m := range l.Mirror.Shelf(n).All() {
+		for m := range l.Mirror.Inventory(n).All() {
 			if m.Lost || m.Doomed || spoken[m.ID] {
 				continue
 			}
@@ -305,8 +305,8 @@
 			continue
 		}
 		n, ok := l.Mirror.TeamBlock(e.Team)
-		at, ready := l.Mirror.Begins(e)
-		soon := !ready && l.Mirror.Soon(e, func(id core.JobID) bool { return running[id] > 0 })
+		at, ready := l.Mirror.ReadyAt(e)
+		soon := !ready && l.Mirror.ReadySoon(e, func(id core.JobID) bool { return running[id] > 0 })
 		if !ok || !ready && !soon {
 			continue // nothing is kept or rented for what cannot start
 		}
@@ -314,7 +314,7 @@
 			at = wall
 		}
 		j := &capacity.Job{Job: placement.JobOf(id, at, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len()}
-		j.Probe, j.Running, j.Soon = failing[id], running[id], soon
+		j.Probe, j.Running, j.Expected = failing[id], running[id], soon
 		j.Overdue = capacity.Overdue(at, wall, j.Running > 0 || !e.Done.Empty())
 		j.Rank = max(j.Rank, e.Urgency.Rank)
 		j.Timed = e.Urgency.Due > 0 || capacity.Timed(l.Config.Aims, e.Spec)
@@ -334,14 +334,14 @@
 	})
 	guarantees := capacity.NewGuarantees(l.Config.Teams)
 	for _, j := range jobs {
-		if j.Soon {
+		if j.Expected {
 			continue
 		}
 		j.Guaranteed = guarantees.Within(j.Team, j.Need.CPUs*float64(j.Remaining))
 		j.Timed = j.Timed || j.Guaranteed
 	}
 	in.Jobs = jobs
-	l.trend.Arrivals(now, slices.DeleteFunc(slices.Clone(jobs), func(j *capacity.Job) bool { return j.Soon }), in.Kept, in.Types)
+	l.trend.Arrivals(now, slices.DeleteFunc(slices.Clone(jobs), func(j *capacity.Job) bool { return j.Expected }), in.Kept, in.Types)
 	in.Keep = l.trend.Keep()
 	plan := capacity.Make(in)
 	for _, id := range hopeless {
@@ -365,11 +365,11 @@
 			l.boots.Came(now, m.Type, age, core.Seconds(types[m.Type].BootS))
 		}
 	}
-	for _, m := range edit.All(state.PoolShelf) {
+	for _, m := range edit.All(state.PoolInventory) {
 		look(&m)
 	}
 	for _, n := range core.Keys(l.Mirror.Blocks) {
-		for m := range l.Mirror.Shelf(n).All() {
+		for m := range l.Mirror.Inventory(n).All() {
 			look(&m)
 		}
 	}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -364,7 +364,7 @@
 		n.state.Txn(t, func(r state.Result) {
 			switch r.Outcome {
 			case state.Applied:
-				n.tellCalledOff(id)
+				n.announceCancellation(id)
 				reply(Answer{Status: 200, Body: api.JobStatus{ID: string(id), Phase: api.PhaseCancelled}})
 			case state.Refused, state.NoTenure:
 				reply(n.later("the state service does not take changes"))
@@ -397,11 +397,11 @@
 	}
 	h := n.holders[num]
 	if h == nil {
-		if n.looksDeaf(num) || n.doubtful(num) {
-			n.noteStray(&rep, num)
+		if n.looksIsolated(num) || n.doubtful(num) {
+			n.noteMisrouted(&rep, num)
 			// Sent back there, the worker would lose another few seconds of its
 			// lease; the block may be ours in a moment. Some come just before
-			// their holder looks deaf.
+			// their holder looks isolated.
 			n.park(&rep, reply)
 			return
 		}
@@ -452,7 +452,7 @@
 		id := core.MachineID(p.rep.Machine)
 		num, ok := n.mirror.MachineBlock(id)
 		switch {
-		case !ok && now < p.due && (n.leader != nil || n.mirror.Shelf(state.PoolShelf).VersionOf(id) != 0):
+		case !ok && now < p.due && (n.leader != nil || n.mirror.Inventory(state.PoolInventory).VersionOf(id) != 0):
 			n.parked = append(n.parked, p)
 		case ok && n.holders[num] != nil:
 			n.holders[num].Report(p.rep, func(a api.ReportAnswer, ok bool) {
@@ -462,7 +462,7 @@
 				}
 				n.redirect(id, p.reply)
 			})
-		case ok && now < p.due && n.looksDeaf(num), ok && now < p.doubt && n.doubtful(num):
+		case ok && now < p.due && n.looksIsolated(num), ok && now < p.doubt && n.doubtful(num):
 			n.parked = append(n.parked, p)
 		default:
 			n.redirect(id, p.reply)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,14 +56,14 @@
 	// Policy chooses how tasks are placed; set before Start.
 	Policy placement.Policy
 
-	parked    []parked
-	strays    map[core.MachineID]stray
-	prober    *worker.Prober // asks strays whether they hear us
-	grants    map[int]grantSeen
-	calledOff []calledOff // confirmed here lately
-	shapes    capacity.Shapes
-	peers     map[core.Host]heard
-	broadcast func([]byte)
+	parked        []parked
+	misrouted     map[core.MachineID]misroutedReport
+	prober        *worker.Prober // asks the machines of misrouted reports whether they hear us
+	grants        map[int]grantSeen
+	cancellations []confirmedCancellation // confirmed here lately
+	shapes        capacity.Shapes
+	peers         map[core.Host]heard
+	broadcast     func([]byte)
 }
 
 const (
@@ -74,7 +74,7 @@
 // New makes a node; Start begins its work. broadcast sends a frame to the other
 // controllers.
 func New(cfg *config.Config, loop core.Loop, call core.Caller, broadcast func([]byte), log *slog.Logger, rnd *rand.Rand) *Node {
-	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]heard{}, strays: map[core.MachineID]stray{}, grants: map[int]grantSeen{}}
+	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]heard{}, misrouted: map[core.MachineID]misroutedReport{}, grants: map[int]grantSeen{}}
 	n.state = state.NewClient(loop, call, cfg.State, cfg.StateLim, cfg.Nodes)
 	n.mirror = state.NewMirror(loop, n.state, log)
 	n.cloud = cloud.NewClient(loop, call, cfg.Cloud, cfg.CloudLim)
@@ -166,7 +166,7 @@
 			start()
 			return
 		}
-		n.log.Info("ending the tenure of our former process", "tenure", old.Record.Tenure)
+		n.log.Info("ending the tenure of our previous process", "tenure", old.Record.Tenure)
 		n.state.End(old.Record.Tenure, func(ok bool) {
 			if !ok {
 				again()
@@ -288,7 +288,7 @@
 }
 
 func (n *Node) mayRun(e *state.JobEntry) bool {
-	_, ok := n.mirror.Begins(e)
+	_, ok := n.mirror.ReadyAt(e)
 	return ok
 }
 
@@ -302,7 +302,7 @@
 	}
 	if ours && n.leader == nil {
 		n.leader = leader.New(leader.Env{
-			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud, Workers: n.workers, Kept: n.kept, Deaf: n.deaf, Settled: n.settled, Failing: n.failing, Running: n.allRunning, Idle: n.idle, Sure: n.sure,
+			Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Cloud: n.cloud, Workers: n.workers, Kept: n.kept, Isolated: n.isolated, Settled: n.settled, Failing: n.failing, Running: n.allRunning, Idle: n.idle, Sure: n.sure,
 		}, l)
 	}
 	for _, num := range core.Keys(n.holders) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -35,30 +35,30 @@
 	}
 	// If they are too many for a frame, those with the most tasks matter most.
 	slices.SortStableFunc(b.Running, func(x, y peer.RunningHint) int { return cmp.Compare(y.Tasks, x.Tasks) })
-	b.Strays = n.strayHints()
+	b.Misrouted = n.misroutedHints()
 	n.broadcast(peer.Encode(b))
-	n.repeatCalledOff()
+	n.repeatCancellation()
 }
 
-// calledOff is a cancellation that this node has made durable.
-type calledOff struct {
+// confirmedCancellation is a cancellation that this node has made durable.
+type confirmedCancellation struct {
 	id core.JobID
 	at core.Time
 }
 
 const (
 	// repeatTime is how long peers are told of a cancellation again.
-	repeatTime   = 3 * time.Second
-	maxCalledOff = 100
+	repeatTime      = 3 * time.Second
+	maxCancellation = 100
 )
 
-// tellCalledOff tells the other controllers at once that a job is cancelled, durably. A
+// announceCancellation tells the other controllers at once that a job is cancelled, durably. A
 // holder that the state service alone refuses would learn of it only afterwards, start
 // tasks of the job, and let all its workers go in time for those that it must not keep.
 // It is still a hint: without it, that time is what bounds the tasks.
-func (n *Node) tellCalledOff(id core.JobID) {
-	if len(n.calledOff) < maxCalledOff {
-		n.calledOff = append(n.calledOff, calledOff{id, n.loop.Now()})
+func (n *Node) announceCancellation(id core.JobID) {
+	if len(n.cancellations) < maxCancellation {
+		n.cancellations = append(n.cancellations, confirmedCancellation{id, n.loop.Now()})
 	}
 	n.broadcast(peer.EncodeCancelled([]core.JobID{id}))
 	for _, h := range n.holders {
@@ -66,14 +66,14 @@
 	}
 }
 
-func (n *Node) repeatCalledOff() {
+func (n *Node) repeatCancellation() {
 	now := n.loop.Now()
-	n.calledOff = slices.DeleteFunc(n.calledOff, func(c calledOff) bool { return now.Sub(c.at) > repeatTime })
-	if len(n.calledOff) == 0 {
+	n.cancellations = slices.DeleteFunc(n.cancellations, func(c confirmedCancellation) bool { return now.Sub(c.at) > repeatTime })
+	if len(n.cancellations) == 0 {
 		return
 	}
 	var ids []core.JobID
-	for _, c := range n.calledOff {
+	for _, c := range n.cancellations {
 		ids = append(ids, c.id)
 	}
 	n.broadcast(peer.EncodeCancelled(ids))
@@ -137,8 +137,8 @@
 	return false
 }
 
-// stray is a report from a machine of another holder's block.
-type stray struct {
+// misroutedReport is a report from a machine of another holder's block.
+type misroutedReport struct {
 	block   int
 	granted core.Term
 	at      core.Time
@@ -154,36 +154,36 @@
 const settleTime = 5 * time.Second
 
 const (
-	// strayTime is how long a stray report counts: a worker that cannot reach
+	// misroutedTime is how long a misrouted report counts: a worker that cannot reach
 	// its holder comes by about that often.
-	strayTime = 8 * time.Second
-	maxProbes = 100
+	misroutedTime = 8 * time.Second
+	maxProbes     = 100
 )
 
-// noteStray remembers a report that belongs to another holder, once the machine
+// noteMisrouted remembers a report that belongs to another holder, once the machine
 // has answered a question of ours. One that nothing reaches sends its reports to
 // each controller in turn: its block was moved from holder to holder, and none
 // held it for long enough to be sure that the machine's lease had run out.
-func (n *Node) noteStray(rep *api.Report, num int) {
+func (n *Node) noteMisrouted(rep *api.Report, num int) {
 	id := core.MachineID(rep.Machine)
 	granted := n.mirror.Blocks[num].Record.Term
-	n.prober.Ask(rep, func() { n.strays[id] = stray{num, granted, n.loop.Now()} })
+	n.prober.Ask(rep, func() { n.misrouted[id] = misroutedReport{num, granted, n.loop.Now()} })
 }
 
-func (n *Node) strayHints() []peer.StrayHint {
+func (n *Node) misroutedHints() []peer.MisroutedHint {
 	now := n.loop.Now()
 	count := map[int]int{}
-	for id, s := range n.strays {
+	for id, s := range n.misrouted {
 		b, ok := n.mirror.Blocks[s.block]
-		if now.Sub(s.at) > strayTime || !ok || b.Record.Term != s.granted {
-			delete(n.strays, id)
+		if now.Sub(s.at) > misroutedTime || !ok || b.Record.Term != s.granted {
+			delete(n.misrouted, id)
 			continue
 		}
 		count[s.block]++
 	}
-	var out []peer.StrayHint
+	var out []peer.MisroutedHint
 	for _, num := range core.Keys(count) {
-		out = append(out, peer.StrayHint{Number: num, Machines: count[num]})
+		out = append(out, peer.MisroutedHint{Number: num, Machines: count[num]})
 	}
 	return out
 }
@@ -234,9 +234,9 @@
 	return out
 }
 
-// looksDeaf tells whether a block's holder seems not to hear most of the
+// looksIsolated tells whether a block's holder seems not to hear most of the
 // block's machines, though it may be well otherwise.
-func (n *Node) looksDeaf(num int) bool {
+func (n *Node) looksIsolated(num int) bool {
 	b, ok := n.mirror.Blocks[num]
 	if !ok {
 		return false
@@ -248,7 +248,7 @@
 		return false
 	}
 	hint, ok := n.hint(num, b.Record.Holder)
-	return ok && hint.Silent > 0 && hint.Silent > hint.Live || !ok && n.mirror.Shelf(num).Len() > 0
+	return ok && hint.Silent > 0 && hint.Silent > hint.Live || !ok && n.mirror.Inventory(num).Len() > 0
 }
 
 // doubtful tells whether a block's holder has told nothing for a moment, or no longer
@@ -263,11 +263,11 @@
 	return ok && hint.Granted == b.Record.Term && hint.Silent > 0 || heard && n.loop.Now().Sub(p.at) > 2*beatEvery+beatEvery/2
 }
 
-// deaf tells which controller should hold a block instead of its holder: one
+// isolated tells which controller should hold a block instead of its holder: one
 // to which at least half of the machines come that the holder does not hear.
-func (n *Node) deaf(num int) (core.Host, bool) {
+func (n *Node) isolated(num int) (core.Host, bool) {
 	b, ok := n.mirror.Blocks[num]
-	if !ok || !n.looksDeaf(num) {
+	if !ok || !n.looksIsolated(num) {
 		return "", false
 	}
 	need := 1
@@ -275,18 +275,18 @@
 		need = max(1, (hint.Silent+1)/2)
 	}
 	best, most := core.Host(""), 0
-	look := func(h core.Host, strays []peer.StrayHint) {
-		for _, s := range strays {
+	look := func(h core.Host, misrouted []peer.MisroutedHint) {
+		for _, s := range misrouted {
 			if s.Number == num && s.Machines > most && h != b.Record.Holder {
 				best, most = h, s.Machines
 			}
 		}
 	}
 	now := n.loop.Now()
-	look(n.cfg.Host, n.strayHints())
+	look(n.cfg.Host, n.misroutedHints())
 	for _, host := range core.Keys(n.peers) {
 		if p := n.peers[host]; now.Sub(p.at) < beatValid && p.Contact < contactLost {
-			look(host, p.Strays)
+			look(host, p.Misrouted)
 		}
 	}
 	return best, most >= need
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -34,10 +34,10 @@
 	Contact time.Duration
 	// Changes is how many changes a second the sender has made lately at the state
 	// service, in tenths.
-	Changes uint64
-	Blocks  []BlockHint
-	Running []RunningHint
-	Strays  []StrayHint
+	Changes   uint64
+	Blocks    []BlockHint
+	Running   []RunningHint
+	Misrouted []MisroutedHint
 	// Failing lists jobs that have only failed so far and are tried one task at a time.
 	Failing []core.JobID
 }
@@ -53,9 +53,9 @@
 	Idle    []core.MachineID
 }
 
-// StrayHint counts the machines of another holder's block that have lately
+// MisroutedHint counts the machines of another holder's block that have lately
 // come to the sender to report.
-type StrayHint struct {
+type MisroutedHint struct {
 	Number   int
 	Machines int
 }
@@ -107,9 +107,9 @@
 		p = putText(p, string(r.Job))
 		p = binary.AppendUvarint(p, uint64(r.Tasks))
 	}
-	strays := b.Strays[:min(len(b.Strays), maxBlocks)]
-	p = binary.AppendUvarint(p, uint64(len(strays)))
-	for _, s := range strays {
+	misrouted := b.Misrouted[:min(len(b.Misrouted), maxBlocks)]
+	p = binary.AppendUvarint(p, uint64(len(misrouted)))
+	for _, s := range misrouted {
 		p = binary.AppendUvarint(p, uint64(s.Number))
 		p = binary.AppendUvarint(p, uint64(s.Machines))
 	}
@@ -200,7 +200,7 @@
 		b.Running = append(b.Running, RunningHint{core.JobID(d.text()), int(d.number())})
 	}
 	for range d.count(maxBlocks) {
-		b.Strays = append(b.Strays, StrayHint{int(d.number()), int(d.number())})
+		b.Misrouted = append(b.Misrouted, MisroutedHint{int(d.number()), int(d.number())})
 	}
 	for range d.count(maxFailing) {
 		b.Failing = append(b.Failing, core.JobID(d.text()))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -17,10 +17,10 @@
 func beat() Beat {
 	return Beat{
 		Host: "c0", Tenure: 7, Contact: 1500 * time.Millisecond, Changes: 73,
-		Blocks:  []BlockHint{{Number: 2, Granted: 1 << 40, Placing: true, Waiting: 300, Live: 3, Silent: 9, Idle: []core.MachineID{"n-1", "n-22"}}, {Number: 0}},
-		Running: []RunningHint{{"req-1", 12}},
-		Strays:  []StrayHint{{1, 4}},
-		Failing: []core.JobID{"req-5", "req-8"},
+		Blocks:    []BlockHint{{Number: 2, Granted: 1 << 40, Placing: true, Waiting: 300, Live: 3, Silent: 9, Idle: []core.MachineID{"n-1", "n-22"}}, {Number: 0}},
+		Running:   []RunningHint{{"req-1", 12}},
+		Misrouted: []MisroutedHint{{1, 4}},
+		Failing:   []core.JobID{"req-5", "req-8"},
 	}
 }
 
@@ -108,15 +108,15 @@
 
 // A beat is what the version in production sends, to the byte: one that it could not read
 // would make live holders look dead.
-func TestBeatOfTheFormerVersion(t *testing.T) {
-	former, err := os.ReadFile("testdata/former-beat.bin")
+func TestBeatOfThePreviousVersion(t *testing.T) {
+	previous, err := os.ReadFile("testdata/previous-beat.bin")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !bytes.Equal(former, Encode(beat())) {
-		t.Fatalf("written as %x, the former version wrote %x", Encode(beat()), former)
+	if !bytes.Equal(previous, Encode(beat())) {
+		t.Fatalf("written as %x, the previous version wrote %x", Encode(beat()), previous)
 	}
-	if got, ok, err := Decode(former); err != nil || !ok || !reflect.DeepEqual(got, beat()) {
+	if got, ok, err := Decode(previous); err != nil || !ok || !reflect.DeepEqual(got, beat()) {
 		t.Fatalf("%+v %v %v", got, ok, err)
 	}
 }
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -70,17 +70,17 @@
 	return jobs
 }
 
-// BenchmarkSwarm plans a block into which thousands of jobs of one task each have
+// BenchmarkSingleTaskJobs plans a block into which thousands of jobs of one task each have
 // come at once, with little room left.
-func BenchmarkSwarm(b *testing.B) {
+func BenchmarkSingleTaskJobs(b *testing.B) {
 	for b.Loop() {
 		b.StopTimer()
 		r := rand.New(rand.NewPCG(1, 1))
 		machines, jobs := benchMachines(r, 130, 0.9), benchArrays(r, 10, 300)
 		for i := range 2000 {
 			jobs = append(jobs, &Job{
-				ID: core.JobID(fmt.Sprint("swarm-", i)), Team: "red", At: core.Wall(100 + i), Need: Need{CPUs: 0.25, MemoryGB: 0.9}, Tasks: 1, Waiting: 1,
-				Estimate: time.Duration(100+r.IntN(100)) * time.Second, Image: "swarm",
+				ID: core.JobID(fmt.Sprint("single-", i)), Team: "red", At: core.Wall(100 + i), Need: Need{CPUs: 0.25, MemoryGB: 0.9}, Tasks: 1, Waiting: 1,
+				Estimate: time.Duration(100+r.IntN(100)) * time.Second, Image: "single",
 			})
 		}
 		teams := map[string]*Team{"red": {Max: Need{CPUs: 5000}}}
--- a/internal/placement/standback.go
+++ b/internal/placement/defer.go
@@ -8,9 +8,9 @@
 	"lichenstair/internal/core"
 )
 
-// Haste is what is known of an array's time: by when it should be complete, for
+// Timing is what is known of an array's time: by when it should be complete, for
 // the aim that leaves least time first, and the work that is left.
-type Haste struct {
+type Timing struct {
 	Due  []core.Wall
 	Work float64 // CPU seconds
 }
@@ -18,43 +18,43 @@
 // fetchTime is added to what the last task of a job still needs.
 const fetchTime = 3 * time.Second
 
-// StandBack decides which of a team's arrays cannot all be complete in time with
-// the CPUs that the team can use, and marks those that stand back. Serving them
+// Defer decides which of a team's arrays cannot all be complete in time with
+// the CPUs that the team can use, and marks those that are deferred. Serving them
 // all by age would make each of them a little late; instead as many as possible
 // are in time, and those with the most work give way (the rule of Moore and
 // Hodgson for the number of late jobs). A job that cannot meet its first time
 // is tried with the next, after those that meet theirs. It only ever changes
-// the order: whoever stands back takes what the others leave.
+// the order: whoever is deferred takes what the others leave.
 //
 // cpus is what the team can use, and running the work of tasks that already run.
-func StandBack(now core.Wall, cpus, running float64, jobs []*Job) {
+func Defer(now core.Wall, cpus, running float64, jobs []*Job) {
 	left := jobs
 	kept := []*Job{}
 	for stage := 0; len(left) > 0; stage++ {
 		var due []*Job
 		for _, j := range left {
-			if stage < len(j.Haste.Due) {
+			if stage < len(j.Timing.Due) {
 				due = append(due, j)
 			}
 		}
-		sort.SliceStable(due, func(a, b int) bool { return due[a].Haste.Due[stage] < due[b].Haste.Due[stage] })
+		sort.SliceStable(due, func(a, b int) bool { return due[a].Timing.Due[stage] < due[b].Timing.Due[stage] })
 		used := running
 		for _, j := range kept {
-			used += j.Haste.Work
+			used += j.Timing.Work
 		}
 		var taken byWork
 		var dropped []*Job
 		for _, j := range due {
-			have := float64(j.Haste.Due[stage]-now) / 1000
+			have := float64(j.Timing.Due[stage]-now) / 1000
 			if have < (j.Estimate + fetchTime).Seconds() {
 				dropped = append(dropped, j) // too late whatever is done
 				continue
 			}
 			heap.Push(&taken, j)
-			used += j.Haste.Work
+			used += j.Timing.Work
 			for used > have*cpus && len(taken) > 0 {
 				most := heap.Pop(&taken).(*Job)
-				used -= most.Haste.Work
+				used -= most.Timing.Work
 				dropped = append(dropped, most)
 			}
 		}
@@ -70,7 +70,7 @@
 
 func (w byWork) Len() int { return len(w) }
 func (w byWork) Less(a, b int) bool {
-	return w[a].Haste.Work > w[b].Haste.Work || w[a].Haste.Work == w[b].Haste.Work && w[a].ID < w[b].ID
+	return w[a].Timing.Work > w[b].Timing.Work || w[a].Timing.Work == w[b].Timing.Work && w[a].ID < w[b].ID
 }
 func (w byWork) Swap(a, b int) { w[a], w[b] = w[b], w[a] }
 func (w *byWork) Push(x any)   { *w = append(*w, x.(*Job)) }
--- a/internal/placement/standback_test.go
+++ b/internal/placement/defer_test.go
@@ -10,24 +10,24 @@
 
 // As many jobs as possible must be in time: the choice is compared with every
 // subset of made-up jobs. By age alone a burst made nearly all of them late.
-func TestStandBackKeepsAsManyAsCanBe(t *testing.T) {
+func TestDeferKeepsAsManyAsCanBe(t *testing.T) {
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 5))
 		cpus := float64(1 + r.IntN(20))
 		var jobs []*Job
 		for range 1 + r.IntN(8) {
 			due := core.Wall(4000 + r.IntN(100_000))
-			jobs = append(jobs, &Job{Estimate: time.Millisecond, Haste: Haste{Due: []core.Wall{due}, Work: float64(1 + r.IntN(800))}})
+			jobs = append(jobs, &Job{Estimate: time.Millisecond, Timing: Timing{Due: []core.Wall{due}, Work: float64(1 + r.IntN(800))}})
 		}
 		inTime := func(set int) bool {
 			for i, j := range jobs {
 				work := 0.0
 				for k, o := range jobs {
-					if set>>k&1 == 1 && o.Haste.Due[0] <= j.Haste.Due[0] {
-						work += o.Haste.Work
+					if set>>k&1 == 1 && o.Timing.Due[0] <= j.Timing.Due[0] {
+						work += o.Timing.Work
 					}
 				}
-				if set>>i&1 == 1 && work > float64(j.Haste.Due[0])/1000*cpus {
+				if set>>i&1 == 1 && work > float64(j.Timing.Due[0])/1000*cpus {
 					return false
 				}
 			}
@@ -43,7 +43,7 @@
 				most = n
 			}
 		}
-		StandBack(0, cpus, 0, jobs)
+		Defer(0, cpus, 0, jobs)
 		chosen, n := 0, 0
 		for i, j := range jobs {
 			if j.Late == 0 {
@@ -58,7 +58,7 @@
 }
 
 // Whoever has waited long without having begun goes first, however late it is:
-// the largest jobs stood back behind a stream of small ones for 15 minutes.
+// the largest jobs was deferred behind a stream of small ones for 15 minutes.
 func TestOverdueGoesFirst(t *testing.T) {
 	large := &Job{ID: "large", At: 5, Late: 2, Overdue: true}
 	jobs := []*Job{{ID: "small", At: 1, Guaranteed: true}, large, {ID: "high", At: 9, Rank: 2}}
@@ -74,7 +74,7 @@
 	Sort(jobs)
 	used := 0.0
 	for _, j := range jobs {
-		if used += j.Haste.Work; used > float64(j.Haste.Due[0])/1000*cpus {
+		if used += j.Timing.Work; used > float64(j.Timing.Due[0])/1000*cpus {
 			n++
 		}
 	}
@@ -85,7 +85,7 @@
 // array waited as long as the oldest, and those with little time of their own were
 // late behind others with time to spare. Where there is time for all, age decides,
 // and other teams see no change.
-func TestTurns(t *testing.T) {
+func TestOrderByDue(t *testing.T) {
 	before, after := 0, 0
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 9))
@@ -94,13 +94,13 @@
 			for i := range 12 {
 				jobs = append(jobs, &Job{
 					ID: core.JobID(rune('a' + i)), At: core.Wall(i + 1), Guaranteed: i < 4, Estimate: time.Millisecond,
-					Haste: Haste{Due: []core.Wall{core.Wall(60_000 + r.IntN(120_000))}, Work: load * float64(1+r.IntN(200))},
+					Timing: Timing{Due: []core.Wall{core.Wall(60_000 + r.IntN(120_000))}, Work: load * float64(1+r.IntN(200))},
 				})
 			}
 			return jobs
 		}
 		calm := make(0.1)
-		Turns(0, cpus, 0, calm)
+		OrderByDue(0, cpus, 0, calm)
 		Sort(calm)
 		for i, j := range calm {
 			if j.At != core.Wall(i+1) || j.Turn != 0 {
@@ -108,10 +108,10 @@
 			}
 		}
 		full := make(1)
-		StandBack(0, cpus, 0, full)
+		Defer(0, cpus, 0, full)
 		before += late(cpus, full)
 		guaranteed, places := 0, map[core.Wall]bool{}
-		Turns(0, cpus, 0, full)
+		OrderByDue(0, cpus, 0, full)
 		after += late(cpus, full)
 		for _, j := range full {
 			if j.Guaranteed {
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -49,8 +49,8 @@
 	NoChoice bool
 	// Late counts the aims on the job's time that it misses or gives way in.
 	Late int
-	// Haste is set for arrays that have a deadline.
-	Haste Haste
+	// Timing is set for arrays that have a deadline.
+	Timing Timing
 	// Timed: its users have stated by when it should begin or be complete, or it is
 	// within a guarantee.
 	Timed bool
@@ -75,7 +75,7 @@
 // turn is the job's place in line among those that are equal else.
 func (j *Job) turn() core.Wall { return cmp.Or(j.Turn, j.At) }
 
-// inLine orders jobs that are equal in rank and haste: work within a guarantee
+// inLine orders jobs that are equal in rank and timing: work within a guarantee
 // before borrowed, then the oldest first.
 func inLine(a, b *Job) int {
 	switch {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,8 +48,8 @@
 	BusyFor time.Duration
 	// Asked: the machine is asked back and goes once it is empty.
 	Asked bool
-	// Shunned: the machine has failed tasks lately; it is taken last.
-	Shunned bool
+	// Unreliable: the machine has failed tasks lately; it is taken last.
+	Unreliable bool
 }
 
 // full tells whether n more tasks are too many for the machine.
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -114,7 +114,7 @@
 			var machines []*Machine
 			for i := range 2 + r.IntN(30) {
 				m := machineOf(fmt.Sprintf("n-%03d", i), []float64{4, 16, 64}[r.IntN(3)], 64)
-				m.Zone, m.Spot, m.Shunned, m.Kept = []string{"a", "b"}[r.IntN(2)], r.IntN(2) == 0, r.IntN(15) == 0, r.IntN(6) == 0
+				m.Zone, m.Spot, m.Unreliable, m.Kept = []string{"a", "b"}[r.IntN(2)], r.IntN(2) == 0, r.IntN(15) == 0, r.IntN(6) == 0
 				m.Asked = r.IntN(8) == 0
 				m.MaxTasks = []int{0, 5, 40}[r.IntN(3)]
 				for range r.IntN(int(m.Total.CPUs) + 1) {
@@ -139,9 +139,9 @@
 				}
 				jobs = append(jobs, j)
 			}
-			for i := range r.IntN(3) * 15 { // a swarm of jobs of one task each
+			for i := range r.IntN(3) * 15 { // thousands of jobs of one task each
 				jobs = append(jobs, &Job{
-					ID: core.JobID(fmt.Sprint("swarm-", i)), Team: "blue", At: core.Wall(2 + r.IntN(9)), Need: Need{CPUs: 0.5, MemoryGB: float64(1 + seed%3)},
+					ID: core.JobID(fmt.Sprint("single-", i)), Team: "blue", At: core.Wall(2 + r.IntN(9)), Need: Need{CPUs: 0.5, MemoryGB: float64(1 + seed%3)},
 					Tasks: 1, Waiting: 1, Estimate: time.Duration(1+r.IntN(60)) * time.Second, Image: fmt.Sprint(r.IntN(2)), Spot: true, Timed: r.IntN(2) == 0,
 				})
 			}
--- a/internal/placement/rating.go
+++ b/internal/placement/rating.go
@@ -25,16 +25,16 @@
 }
 
 type rating struct {
-	shunned bool
-	score   float64
-	mean    float64
-	cold    bool
+	unreliable bool
+	score      float64
+	mean       float64
+	cold       bool
 }
 
 func (a rating) better(b rating) bool {
 	switch {
-	case a.shunned != b.shunned:
-		return !a.shunned
+	case a.unreliable != b.unreliable:
+		return !a.unreliable
 	case a.score != b.score:
 		return a.score < b.score
 	case a.mean != b.mean:
@@ -48,7 +48,7 @@
 func rate(j *Job, m *Machine) rating {
 	const grid = 1e9
 	s, mean := Score(m, j.Need)
-	return rating{m.Shunned, math.Round(s * grid), math.Round(mean * grid), !m.Images[j.Image]}
+	return rating{m.Unreliable, math.Round(s * grid), math.Round(mean * grid), !m.Images[j.Image]}
 }
 
 // best returns the machine with the best rating for one task of an array.
--- a/internal/sim/guest_test.go
+++ b/internal/sim/borrower_test.go
@@ -9,14 +9,14 @@
 	"lichenstair/internal/config"
 )
 
-// guests makes a world of five controllers with few requests a second for all of
-// them, in which a team without a guarantee or a limit is a guest.
-func guests(seed uint64) *World {
+// worldWithBorrower makes a world of five controllers with few requests a second for all of
+// them, in which a team without a guarantee or a limit borrows all that it uses.
+func worldWithBorrower(seed uint64) *World {
 	w := fleet(5, 170, seed)
 	w.Cfg.StateLim.RPS, w.Cfg.StateLim.WriteRPS = 100, 40
 	w.Cfg.Workers.Report, w.Cfg.Workers.Lease, w.Cfg.Workers.Cancel = time.Second, 10*time.Second, 35*time.Second
 	w.Cfg.Limits.Sockets = 500
-	w.Cfg.Teams = append(w.Cfg.Teams, config.Team{Name: "guest", CPUsMax: config.Unlimited, GPUsMax: config.Unlimited})
+	w.Cfg.Teams = append(w.Cfg.Teams, config.Team{Name: "borrower", CPUsMax: config.Unlimited, GPUsMax: config.Unlimited})
 	w.Cfg.Aims = []config.Aim{
 		{Kind: "deadline", Class: "counts", Share: 0.9, Times: 1},
 		{Kind: "finished", Class: "vast", Within: 300 * time.Second, Share: 0.9},
@@ -27,34 +27,34 @@
 	return w
 }
 
-// guestJob is a job of the guest team.
-func guestJob(class string, n, tasks int, cpus, estimate float64) api.Job {
+// borrowedJob is a job of the team that borrows.
+func borrowedJob(class string, n, tasks int, cpus, estimate float64) api.Job {
 	return api.Job{
-		ID: fmt.Sprintf("req-%s%04d", map[string]string{"idle": "71", "vast": "72", "single": "73"}[class], n), Class: class, Team: "guest", Form: api.FormArray,
+		ID: fmt.Sprintf("req-%s%04d", map[string]string{"idle": "71", "vast": "72", "single": "73"}[class], n), Class: class, Team: "borrower", Form: api.FormArray,
 		Rank: api.RankBestEffort, Tasks: tasks, CPUs: cpus, MemoryGB: 1, Image: class, ImageGB: 0.5, EstimateS: estimate, Spot: true,
 	}
 }
 
-// A guest brings idle-time work for far more machines than there are, one array of
-// thousands of short tasks, and a swarm of jobs of one task each, while users ask
+// Such a team brings idle-time work for far more machines than there are, one array of
+// thousands of short tasks, and thousands of jobs of one task each, while users ask
 // many times as often as usual and the busiest controller ends. Requests to the state
 // service are few: watches and proofs of freshness once took all of them, submissions
 // were told to come back for a minute, and no done task was written down.
-func TestGuestsAreServed(t *testing.T) {
-	w := guests(81)
+func TestTeamWithoutGuaranteeIsServed(t *testing.T) {
+	w := worldWithBorrower(81)
 	w.fleetLoad(200*time.Second, 0.12, 0.1)
 	w.At(20*time.Second, func() {
 		for i := range 6 {
-			w.Users.Submit(guestJob("idle", i, 55, 8, 300))
+			w.Users.Submit(borrowedJob("idle", i, 55, 8, 300))
 		}
 	})
-	w.At(60*time.Second, func() { w.Users.Submit(guestJob("vast", 0, 4000, 0.5, 4)) })
+	w.At(60*time.Second, func() { w.Users.Submit(borrowedJob("vast", 0, 4000, 0.5, 4)) })
 	w.At(70*time.Second, func() { w.Users.Often = 8 })
 	w.At(130*time.Second, func() { w.Users.Often = 0 })
 	n := 0
 	var next func()
 	next = func() {
-		w.Users.Submit(guestJob("single", n, 1, 0.25, 60))
+		w.Users.Submit(borrowedJob("single", n, 1, 0.25, 60))
 		if n++; n < 500 {
 			w.In(time.Duration(w.Rand.ExpFloat64()/13*float64(time.Second)), next)
 		}
@@ -97,20 +97,20 @@
 // Idle-time work that has taken everything gives it back, having saved, to those of a
 // higher rank that come later, and goes on afterwards. It kept what it had for minutes.
 func TestIdleWorkGivesWay(t *testing.T) {
-	w := guests(82)
+	w := worldWithBorrower(82)
 	for k := range w.Cloud.Capacity {
 		w.Cloud.Capacity[k] = 0 // nothing can be rented
 	}
 	w.At(5*time.Second, func() {
 		for i := range 4 {
-			j := guestJob("idle", i, 40, 4, 200)
+			j := borrowedJob("idle", i, 40, 4, 200)
 			j.CheckpointS, j.SaveS = 30, 3
 			w.Users.Submit(j)
 		}
 	})
 	w.At(60*time.Second, func() {
 		for i, team := range w.Cfg.Teams[:4] {
-			j := guestJob("single", i, 20, 1, 15)
+			j := borrowedJob("single", i, 20, 1, 15)
 			due := 60.0
 			j.Team, j.Class, j.Rank, j.DeadlineS = team.Name, "counts", api.RankStandard, &due
 			w.Users.Submit(j)
@@ -146,7 +146,7 @@
 // Jobs submitted with a mistake fail on every machine until their users cancel them.
 // They are tried one task at a time and ever more seldom, rent nothing, and do not
 // make machines look bad: each of their tasks was started again and again, and
-// machines that had met two of them were shunned.
+// machines that had met two of them were unreliable.
 func TestMistakenJobsTakeLittle(t *testing.T) {
 	w := NewWorld(Settings(3), 83, nil)
 	w.Populate()
@@ -191,7 +191,7 @@
 // A team that the settings no longer name after a restart keeps its jobs: they are
 // answered and served within the limit that it had. They stayed known but waited for
 // ever.
-func TestFormerTeamIsServed(t *testing.T) {
+func TestRemovedTeamIsServed(t *testing.T) {
 	w := NewWorld(Settings(3), 84, nil)
 	w.Populate()
 	j := w.RandomJob(1)
--- a/internal/sim/checker.go
+++ b/internal/sim/checker.go
@@ -92,7 +92,7 @@
 		if j.final == api.PhaseCancelled && j.on > 0 && now > j.toldAt+c.cancel {
 			c.fail("ran_cancelled: %s is still on %d machines", id, j.on)
 		}
-		if c.calm > 0 && j.accepted && !c.calledOff(id) && now-max(j.answered, j.told, c.calm) > knownWithin {
+		if c.calm > 0 && j.accepted && !c.cancelWanted(id) && now-max(j.answered, j.told, c.calm) > knownWithin {
 			c.fail("forgotten: no question about %s has been answered for %s", id, knownWithin)
 		}
 	}
@@ -101,7 +101,7 @@
 const (
 	// knownWithin is how long after all troubles no job may go without an answer.
 	knownWithin = 75 * time.Second
-	// idleWithin is how long after all troubles a job may wait beside room for it.
+	// idleWithin is how long after all troubles a job may wait beside free capacity for it.
 	idleWithin = 90 * time.Second
 	// beginWithin is how long the largest jobs of a class may wait to begin.
 	beginWithin = 4 * time.Minute
@@ -133,7 +133,7 @@
 	}
 	due := func(j *watched) bool {
 		_, may := c.mayRun(j)
-		return j.accepted && !c.calledOff(j.spec.ID) && !j.hopeless && may && c.now-since(j) > beginWithin
+		return j.accepted && !c.cancelWanted(j.spec.ID) && !j.hopeless && may && c.now-since(j) > beginWithin
 	}
 	for _, j := range c.jobs {
 		if due(j) {
@@ -183,7 +183,7 @@
 	switch {
 	case j.final != "" && phase != j.final && asked >= j.toldAt:
 		c.fail("went_back: %s was %s and is called %s", id, j.final, phase)
-	case phase == api.PhaseCancelled && !c.calledOff(id):
+	case phase == api.PhaseCancelled && !c.cancelWanted(id):
 		c.fail("went_back: %s is called cancelled, which nobody asked for", id)
 	case phase == api.PhaseDone && len(j.done) < j.spec.Tasks:
 		c.fail("not_done: %s is called done with %d of %d tasks", id, len(j.done), j.spec.Tasks)
@@ -215,8 +215,8 @@
 	}
 }
 
-// calledOff tells whether a user wants the job or one that it needs cancelled.
-func (c *Checker) calledOff(id string) (out bool) {
+// cancelWanted tells whether a user wants the job or one that it needs cancelled.
+func (c *Checker) cancelWanted(id string) (out bool) {
 	c.before(c.jobs[id], func(x *watched) bool {
 		out = out || x.asked
 		return !out
@@ -315,7 +315,7 @@
 	if j == nil {
 		return
 	}
-	if _, may := c.mayRun(j); !may || !j.accepted || c.calledOff(id) || j.hopeless || j.final != "" || j.on > 0 || len(j.done) == j.spec.Tasks {
+	if _, may := c.mayRun(j); !may || !j.accepted || c.cancelWanted(id) || j.hopeless || j.final != "" || j.on > 0 || len(j.done) == j.spec.Tasks {
 		machines = nil
 	}
 	beside := map[string]Clock{}
@@ -325,7 +325,7 @@
 			beside[m] = since
 		}
 		if c.now-beside[m] > idleWithin {
-			c.fail("waits: %s has waited for %s beside room for it on %s", id, idleWithin, m)
+			c.fail("waits: %s has waited for %s beside free capacity for it on %s", id, idleWithin, m)
 		}
 	}
 	j.beside = beside
--- a/internal/sim/meetings_test.go
+++ b/internal/sim/combined_faults_test.go
@@ -13,8 +13,8 @@
 	"lichenstair/internal/state"
 )
 
-// meeting is two or more troubles that come together (docs/meetings.md).
-type meeting struct {
+// combination is two or more troubles that come together (docs/combined-faults.md).
+type combination struct {
 	name string
 	day  func(w *World)
 	// long: the teams are at their limits with tasks of minutes.
@@ -56,7 +56,7 @@
 
 func fault(w *World, s float64, name string) { at(w, s, func() { Faults[name](w) }) }
 
-var meetings = []meeting{
+var combinedFaults = []combination{
 	{"the leader refused, cancellations, then nobody served, twice", func(w *World) {
 		at(w, 60, func() { gap(w) })
 		at(w, 150, func() { gap(w) })
@@ -76,11 +76,11 @@
 		at(w, 60, func() { gap(w) })
 		fault(w, 160, "odd requests")
 	}, true, 0},
-	{"the leader ends while machines are cut off or deaf", func(w *World) {
-		fault(w, 60, "machines deaf")
+	{"the leader ends while machines are cut off or do not hear", func(w *World) {
+		fault(w, 60, "answers lost")
 		fault(w, 61, "worker cut")
 		at(w, 63, func() { w.leader().Restart(3 * time.Second) })
-		fault(w, 110, "machines deaf")
+		fault(w, 110, "answers lost")
 		fault(w, 112, "crash all")
 	}, true, 0},
 	{"called off as the last task ends", func(w *World) {
@@ -143,9 +143,9 @@
 		fault(w, 100, "quick restart")
 	}, false, 0},
 	{"machines reach no controller, commands reach them", func(w *World) {
-		fault(w, 60, "machines mute")
+		fault(w, 60, "reports lost")
 		fault(w, 66, "cancel now")
-		fault(w, 90, "machines mute")
+		fault(w, 90, "reports lost")
 		at(w, 92, func() { w.leader().Restart(3 * time.Second) })
 	}, true, 0},
 	{"tasks of small jobs end far apart across changes of leader", func(w *World) {
@@ -273,10 +273,10 @@
 	}, false, 0},
 }
 
-// Every meeting of troubles that users reported keeps the rules, on several seeds; once
-// the troubles are over, everybody is served and nobody waits beside room.
-func TestMeetings(t *testing.T) {
-	for _, m := range meetings {
+// Every combination of troubles that users reported keeps the rules, on several seeds; once
+// the troubles are over, everybody is served and nobody waits beside free capacity.
+func TestCombinedFaults(t *testing.T) {
+	for _, m := range combinedFaults {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range seeds(2) {
@@ -315,7 +315,7 @@
 	}
 }
 
-// The meeting before all others, step by step: the holder of running tasks is refused by
+// The combination before all others, step by step: the holder of running tasks is refused by
 // the state service, another controller confirms that their jobs are cancelled, and then
 // the service is away for longer than that may take. The old leader still answers its
 // workers. No hint reaches it: only the time since its last proof makes it let them go.
@@ -352,7 +352,7 @@
 			t.Fatalf("seed %d: %v", seed, w.Check.Broken)
 		}
 		if confirmed == 0 || ran == 0 {
-			t.Fatalf("seed %d: the meeting did not come about: %d jobs, %d tasks", seed, confirmed, ran)
+			t.Fatalf("seed %d: the combination did not come about: %d jobs, %d tasks", seed, confirmed, ran)
 		}
 	}
 }
@@ -430,26 +430,26 @@
 
 // A machine whose reports reach nobody, though it answers commands, gets no work: it was
 // planned for again and again, each time for seconds, and what was planned waited.
-func TestMuteMachineGetsNoWork(t *testing.T) {
+func TestMachineWithoutReportsGetsNoWork(t *testing.T) {
 	w := NewWorld(Settings(3), 41, nil)
 	w.Populate()
 	at(w, 5, func() { busy(w, 100) })
-	var mute *Machine
+	var isolated *Machine
 	at(w, 40, func() {
-		mute = w.some(1)[0]
-		w.Mute(mute, 300*time.Second)
+		isolated = w.some(1)[0]
+		w.LoseReports(isolated, 300*time.Second)
 	})
 	w.Run(150 * time.Second)
 	if len(w.Check.Broken) > 0 {
 		t.Fatal(w.Check.Broken)
 	}
-	if mute.phase == machineUp {
+	if isolated.phase == machineUp {
 		t.Fatal("it was not given back")
 	}
 }
 
 // Each new check fires on a made-up breach.
-func TestCheckerOfMeetings(t *testing.T) {
+func TestCheckerOfCombinedFaults(t *testing.T) {
 	job := api.Job{ID: "req-1", Team: "red", Form: api.FormArray, Tasks: 2, CPUs: 1}
 	start := func() *Checker {
 		c := NewChecker([]config.Team{{Name: "red", CPUsMax: 10}}, 30*time.Second)
@@ -478,13 +478,13 @@
 			c.Told("req-1", api.PhaseCancelled, c.now)
 			c.Step(c.now + 31*time.Second)
 		}},
-		{"waits beside room", "waits", func(c *Checker) {
+		{"waits beside free capacity", "waits", func(c *Checker) {
 			for s := range 20 {
 				c.Step(time.Duration(2+5*s) * time.Second)
 				c.Room("req-1", []string{"n-1"})
 			}
 		}},
-		{"waits beside room that comes and goes", "", func(c *Checker) {
+		{"waits beside free capacity that comes and goes", "", func(c *Checker) {
 			for s := range 40 {
 				c.Step(time.Duration(2+5*s) * time.Second)
 				c.Room("req-1", []string{fmt.Sprint("n-", s/10)})
@@ -565,7 +565,7 @@
 // tasks there, which needs no record to be changed; carried out then, the release would
 // take the machine, with all that runs on it, to another block. It is conditioned on the
 // grant under which it was decided.
-func TestLateReleaseOfAFormerHolder(t *testing.T) {
+func TestLateReleaseOfAPreviousHolder(t *testing.T) {
 	ran := 0
 	for seed := range seeds(6) {
 		w := NewWorld(Settings(3), 4700+seed, nil)
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -23,10 +23,10 @@
 	rate float64 // of its steady clock
 	proc *process
 	Ends int
-	// Former: its process is of the version before: it keeps the limits it knows, writes
+	// Previous: its process is of the version before: it keeps the limits it knows, writes
 	// no field and passes over frames that it does not know.
-	Former bool
-	stall  Clock // nothing runs before
+	Previous bool
+	stall    Clock // nothing runs before
 
 	healthy, lastGood bool // to the load balancer
 }
@@ -46,7 +46,7 @@
 	calls, mostCalls  int
 	open, mostOpen    int
 	maxCalls, maxOpen int
-	former            bool
+	previous          bool
 }
 
 // Start starts the controller, unless it runs.
@@ -54,11 +54,11 @@
 	if h.proc != nil {
 		return
 	}
-	p := &process{h: h, started: h.w.now, former: h.Former}
+	p := &process{h: h, started: h.w.now, previous: h.Previous}
 	h.proc = p
 	cfg := h.w.Cfg
-	if p.former {
-		cfg.StateLim = h.w.FormerLim
+	if p.previous {
+		cfg.StateLim = h.w.PreviousLim
 	}
 	cfg.Host = h.name
 	for _, o := range h.w.Hosts {
@@ -111,7 +111,7 @@
 }
 
 func (p *process) Call(r core.Request, done func(core.Response)) {
-	if p.former && r.Path == "/txn" {
+	if p.previous && r.Path == "/txn" {
 		r.Body = withoutNewFields(r.Body)
 	}
 	if r.Addr != p.h.w.Cfg.State && r.Addr != p.h.w.Cfg.Cloud {
@@ -132,13 +132,13 @@
 
 func (p *process) broadcast(frame []byte) {
 	_, beat, _ := peer.Decode(frame)
-	if p.former && !beat {
+	if p.previous && !beat {
 		return
 	}
 	for _, o := range p.h.w.Hosts {
 		if o != p.h && !p.dead {
 			p.h.w.carry(party(p.h.name), party(o.name), func() {
-				if q := o.proc; q != nil && !(q.former && !beat) {
+				if q := o.proc; q != nil && !(q.previous && !beat) {
 					q.do(func() { q.node.Peer(frame) })
 				}
 			})
--- a/internal/sim/pipeline_test.go
+++ b/internal/sim/pipeline_test.go
@@ -271,14 +271,14 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			cfg := Settings(3)
-			former := cfg.StateLim
-			former.ValueBytes = 16 << 10
+			previous := cfg.StateLim
+			previous.ValueBytes = 16 << 10
 			cfg.StateLim.ValueBytes, cfg.StateLim.TxnOps, cfg.StateLim.WriteRPS = 2<<10, 12, 30
 			w := NewWorld(cfg, 6500+seed, nil)
-			w.FormerLim = former
-			w.State.Lower(former)
+			w.PreviousLim = previous
+			w.State.Lower(previous)
 			for _, h := range w.Hosts {
-				h.Former = true
+				h.Previous = true
 			}
 			w.Populate()
 			at(w, 48, func() {
@@ -293,7 +293,7 @@
 					for _, e := range w.State.keys {
 						largest = max(largest, len(e.value))
 					}
-					h.Former = false
+					h.Previous = false
 					h.Restart(time.Duration(w.between(0.1, 5) * float64(time.Second)))
 				})
 			}
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -190,7 +190,7 @@
 			w.Cut(party(m.addr), "", w.cutTime(), w.chance(0.6))
 		}
 	},
-	"deaf worker": func(w *World) {
+	"answers to a worker lost": func(w *World) {
 		// Its reports arrive; answers and commands do not reach it.
 		if m := w.anyMachine(); m != nil {
 			w.Cut("", party(m.addr), time.Duration(w.between(10, 90)*float64(time.Second)), w.chance(0.3))
@@ -318,14 +318,14 @@
 		w.KeepReports()
 		w.In(time.Duration(w.between(0.5, 20)*float64(time.Second)), func() { w.leader().Restart(3 * time.Second) })
 	},
-	"machines mute": func(w *World) {
+	"reports lost": func(w *World) {
 		for _, m := range w.some(1 + w.Rand.IntN(3)) {
-			w.Mute(m, time.Duration(w.between(5, 60)*float64(time.Second)))
+			w.LoseReports(m, time.Duration(w.between(5, 60)*float64(time.Second)))
 		}
 	},
-	"machines deaf": func(w *World) {
+	"answers lost": func(w *World) {
 		for _, m := range w.some(1 + w.Rand.IntN(3)) {
-			w.Deaf(m, time.Duration(w.between(5, 60)*float64(time.Second)))
+			w.LoseAnswers(m, time.Duration(w.between(5, 60)*float64(time.Second)))
 		}
 	},
 	"leader alone with workers and users": func(w *World) { w.Alone(w.leader(), w.cutTime()) },
@@ -405,7 +405,7 @@
 	return up[w.Rand.IntN(len(up))]
 }
 
-// watchRoom tells the checker, every few seconds, which jobs wait beside room for one of
+// watchRoom tells the checker, every few seconds, which jobs wait beside free capacity for one of
 // their tasks. Gangs of several tasks are left out: room for one of them is not enough.
 func (w *World) watchRoom() {
 	w.In(5*time.Second, w.watchRoom)
@@ -428,12 +428,12 @@
 	}
 }
 
-// Mute keeps a machine from reaching any controller, while direct commands reach it and
+// LoseReports keeps a machine from reaching any controller, while direct commands reach it and
 // are answered.
-func (w *World) Mute(m *Machine, d time.Duration) { m.mute = max(m.mute, w.now+d) }
+func (w *World) LoseReports(m *Machine, d time.Duration) { m.reportsLost = max(m.reportsLost, w.now+d) }
 
-// Deaf loses the answers and commands to a machine, while its reports arrive.
-func (w *World) Deaf(m *Machine, d time.Duration) { w.Cut("", party(m.addr), d, false) }
+// LoseAnswers loses the answers and commands to a machine, while its reports arrive.
+func (w *World) LoseAnswers(m *Machine, d time.Duration) { w.Cut("", party(m.addr), d, false) }
 
 // Alone cuts a controller from the state service and the other controllers, but not from
 // workers and users.
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -138,7 +138,7 @@
 // state service, must lose the block to a controller that does before the
 // workers' leases run out. Without that, every task of the block was lost again
 // and again for as long as the cut lasted (docs/incidents/inc-96b0.md).
-func TestDeafHolderLosesItsBlock(t *testing.T) {
+func TestIsolatedHolderLosesItsBlock(t *testing.T) {
 	lost := 0
 	for seed := range uint64(6) {
 		w := NewWorld(Settings(3), 500+seed, nil)
@@ -287,16 +287,16 @@
 // holder from placing, nor get work for ever: its reports never show the new
 // term, and each answer that was held to renew its lease put off the time at
 // which the lease had surely run out.
-func TestDeafMachineDoesNotStopItsBlock(t *testing.T) {
+func TestUnreachableMachineDoesNotStopItsBlock(t *testing.T) {
 	for seed := range uint64(4) {
 		w := NewWorld(Settings(3), 900+seed, nil)
 		w.Populate()
 		w.Load(80*time.Second, 2*time.Second)
-		var deaf []*Machine
+		var unreachable []*Machine
 		w.At(70*time.Second, func() {
 			for _, m := range w.Cloud.Up() {
-				if len(m.tasks) > 0 && len(deaf) < 3 {
-					deaf = append(deaf, m)
+				if len(m.tasks) > 0 && len(unreachable) < 3 {
+					unreachable = append(unreachable, m)
 					w.Cut("", party(m.addr), 300*time.Second, false)
 				}
 			}
@@ -320,7 +320,7 @@
 			}
 		}
 		w.Run(170 * time.Second)
-		for _, m := range deaf {
+		for _, m := range unreachable {
 			if m.wasted > 3 {
 				t.Fatalf("seed %d: %s got %d starts that never reached it", seed, m.ID, m.wasted)
 			}
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -22,21 +22,21 @@
 
 // Machine is a stand-in for a machine and its worker.
 type Machine struct {
-	w      *World
-	ID     string
-	addr   string
-	typ    *api.MachineType
-	zone   string
-	spot   bool
-	phase  machinePhase
-	rented Clock
-	up     Clock
-	ended  Clock
-	rate   float64
-	Faulty bool
-	hung   Clock
-	mute   Clock    // it reaches no controller before
-	waits  []func() // what came while it hung
+	w           *World
+	ID          string
+	addr        string
+	typ         *api.MachineType
+	zone        string
+	spot        bool
+	phase       machinePhase
+	rented      Clock
+	up          Clock
+	ended       Clock
+	rate        float64
+	Faulty      bool
+	hung        Clock
+	reportsLost Clock    // it reaches no controller before
+	waits       []func() // what came while it hung
 
 	wasted   int // answers with starts that did not arrive
 	season   uint64
@@ -281,7 +281,7 @@
 	sent, season := m.w.now, m.season
 	raw, _ := json.Marshal(m.view())
 	done := false
-	if m.w.now < m.mute {
+	if m.w.now < m.reportsLost {
 		m.w.In(time.Second, func() {
 			m.act(func() {
 				m.busy = false
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -65,8 +65,8 @@
 	// LateReports is the share of reports of which a copy comes later, from
 	// seconds to several leases.
 	LateReports float64
-	// FormerLim holds the limits that controllers of the version before keep.
-	FormerLim config.StateLimits
+	// PreviousLim holds the limits that controllers of the version before keep.
+	PreviousLim config.StateLimits
 	// Pipelines is the share of jobs that depend on others.
 	Pipelines float64
 	// SlowLinks is how much longer a message takes, at most.
--- a/internal/state/shelf.go
+++ b/internal/state/inventory.go
@@ -12,19 +12,19 @@
 	"lichenstair/internal/core"
 )
 
-// PoolShelf is the number of the pool among the shelves; blocks have their own.
-const PoolShelf = -1
+// PoolInventory is the number of the pool among the inventories; blocks have their own.
+const PoolInventory = -1
 
-// Shelf holds the machines of a block or of the pool in parts, each of which is
+// Inventory holds the machines of a block or of the pool in parts, each of which is
 // one value of the state service, so that no number of machines is too large.
 // A part, once made, is never removed: a late creation could otherwise find its
 // key missing again, and bring back what has changed since.
-type Shelf struct {
+type Inventory struct {
 	parts map[int]Versioned[*Part]
 	place map[core.MachineID]int // the part of each machine
 }
 
-// Part is the record of one part of a shelf.
+// Part is the record of one part of an inventory.
 type Part struct {
 	Machines []Machine `json:"machines"`
 }
@@ -54,10 +54,10 @@
 }
 
 // Len counts the machines.
-func (s *Shelf) Len() int { return len(s.place) }
+func (s *Inventory) Len() int { return len(s.place) }
 
 // Find returns a machine's record.
-func (s *Shelf) Find(id core.MachineID) (Machine, bool) {
+func (s *Inventory) Find(id core.MachineID) (Machine, bool) {
 	k, ok := s.place[id]
 	if !ok {
 		return Machine{}, false
@@ -67,7 +67,7 @@
 }
 
 // VersionOf returns the version of the part in which a machine is; 0: none.
-func (s *Shelf) VersionOf(id core.MachineID) core.Revision {
+func (s *Inventory) VersionOf(id core.MachineID) core.Revision {
 	k, ok := s.place[id]
 	if !ok {
 		return 0
@@ -76,7 +76,7 @@
 }
 
 // All lists the machines in the order of the parts.
-func (s *Shelf) All() iter.Seq[Machine] {
+func (s *Inventory) All() iter.Seq[Machine] {
 	return func(yield func(Machine) bool) {
 		for _, k := range core.Keys(s.parts) {
 			for _, m := range s.parts[k].Record.Machines {
@@ -89,7 +89,7 @@
 }
 
 // put takes in a part as the state service has it.
-func (s *Shelf) put(k int, p *Part, v core.Revision) {
+func (s *Inventory) put(k int, p *Part, v core.Revision) {
 	if old, ok := s.parts[k]; ok {
 		for _, m := range old.Record.Machines {
 			if s.place[m.ID] == k {
@@ -103,29 +103,29 @@
 	}
 }
 
-func newShelf() *Shelf {
-	return &Shelf{parts: map[int]Versioned[*Part]{}, place: map[core.MachineID]int{}}
+func newInventory() *Inventory {
+	return &Inventory{parts: map[int]Versioned[*Part]{}, place: map[core.MachineID]int{}}
 }
 
-func keyPart(shelf, part int) string {
-	if shelf == PoolShelf {
+func keyPart(inventory, part int) string {
+	if inventory == PoolInventory {
 		return fmt.Sprintf("%spool/%d", machines, part)
 	}
-	return fmt.Sprintf("%s%d/%d", machines, shelf, part)
+	return fmt.Sprintf("%s%d/%d", machines, inventory, part)
 }
 
 // parsePart reads the key of a part.
-func parsePart(key string) (shelf, part int, ok bool) {
+func parsePart(key string) (inventory, part int, ok bool) {
 	name, num, ok := strings.Cut(strings.TrimPrefix(key, machines), "/")
 	part, err := strconv.Atoi(num)
 	if !ok || err != nil {
 		return 0, 0, false
 	}
 	if name == "pool" {
-		return PoolShelf, part, true
+		return PoolInventory, part, true
 	}
-	shelf, err = strconv.Atoi(name)
-	return shelf, part, err == nil && shelf >= 0
+	inventory, err = strconv.Atoi(name)
+	return inventory, part, err == nil && inventory >= 0
 }
 
 // partBytes bounds a part. Every controller reads each changed part whole, so
@@ -177,41 +177,41 @@
 	return pieces
 }
 
-// vacant finds the first part of a shelf that does not exist and is not drafted.
-func (e *Edit) vacant(shelf int) int {
-	first, step := e.lanes(shelf)
+// vacant finds the first part of an inventory that does not exist and is not drafted.
+func (e *Edit) vacant(inventory int) int {
+	first, step := e.lanes(inventory)
 	for k := first; ; k += step {
-		if _, ok := e.mirror.Shelf(shelf).parts[k]; !ok && e.drafts[[2]int{shelf, k}] == nil {
+		if _, ok := e.mirror.Inventory(inventory).parts[k]; !ok && e.drafts[[2]int{inventory, k}] == nil {
 			return k
 		}
 	}
 }
 
-// lanes tells which parts of a shelf are for new machines of this edit.
-func (e *Edit) lanes(shelf int) (first, step int) {
-	if shelf == PoolShelf {
+// lanes tells which parts of an inventory are for new machines of this edit.
+func (e *Edit) lanes(inventory int) (first, step int) {
+	if inventory == PoolInventory {
 		return e.lane, len(e.mirror.Blocks) + 1
 	}
 	return 0, 1
 }
 
 // own makes the part changeable in which a machine is, and returns it, or nil.
-func (e *Edit) own(shelf int, id core.MachineID) *Part {
-	k := e.partOf(shelf, id)
-	if k < 0 || e.draft(shelf, k) == nil {
+func (e *Edit) own(inventory int, id core.MachineID) *Part {
+	k := e.partOf(inventory, id)
+	if k < 0 || e.draft(inventory, k) == nil {
 		return nil
 	}
-	return e.drafts[[2]int{shelf, e.partOf(shelf, id)}] // it may have been split
+	return e.drafts[[2]int{inventory, e.partOf(inventory, id)}] // it may have been split
 }
 
 // draft makes a part changeable, unless the limits forbid it.
-func (e *Edit) draft(shelf, part int) *Part {
-	key := [2]int{shelf, part}
+func (e *Edit) draft(inventory, part int) *Part {
+	key := [2]int{inventory, part}
 	if p := e.drafts[key]; p != nil {
 		return p
 	}
 	pieces := [][]Machine{{}}
-	if have, ok := e.mirror.Shelf(shelf).parts[part]; ok {
+	if have, ok := e.mirror.Inventory(inventory).parts[part]; ok {
 		pieces[0] = append(pieces[0], have.Record.Machines...)
 		if have.Record.size() > e.most {
 			pieces = e.split(have.Record)
@@ -224,73 +224,73 @@
 	}
 	for i, machines := range pieces {
 		if i > 0 {
-			key = [2]int{shelf, e.vacant(shelf)}
+			key = [2]int{inventory, e.vacant(inventory)}
 		}
 		e.ops--
 		e.bytes -= e.most
 		e.drafts[key] = &Part{Machines: machines}
 		e.order = append(e.order, key)
 	}
-	return e.drafts[[2]int{shelf, part}]
+	return e.drafts[[2]int{inventory, part}]
 }
 
-// room finds a part of a shelf that can take one more machine: one that is to
+// room finds a part of an inventory that can take one more machine: one that is to
 // be written anyway, else the first, else a new one.
-func (e *Edit) room(shelf int, m *Machine) *Part {
-	parts := e.mirror.Shelf(shelf).parts
+func (e *Edit) room(inventory int, m *Machine) *Part {
+	parts := e.mirror.Inventory(inventory).parts
 	for _, key := range e.order {
-		if p := e.drafts[key]; key[0] == shelf && p.size()+m.size() <= e.most {
+		if p := e.drafts[key]; key[0] == inventory && p.size()+m.size() <= e.most {
 			return p
 		}
 	}
-	first, step := e.lanes(shelf)
+	first, step := e.lanes(inventory)
 	for k := first; ; k += step {
-		if e.drafts[[2]int{shelf, k}] != nil {
+		if e.drafts[[2]int{inventory, k}] != nil {
 			continue
 		}
 		have, ok := parts[k]
 		if !ok || have.Record.size()+m.size() <= e.most {
-			return e.draft(shelf, k)
+			return e.draft(inventory, k)
 		}
 	}
 }
 
 // partOf returns the part in which a machine is as edited so far, or -1.
-func (e *Edit) partOf(shelf int, id core.MachineID) int {
+func (e *Edit) partOf(inventory int, id core.MachineID) int {
 	for _, key := range e.order {
-		if key[0] == shelf && e.drafts[key].find(id) >= 0 {
+		if key[0] == inventory && e.drafts[key].find(id) >= 0 {
 			return key[1]
 		}
 	}
-	if k, ok := e.mirror.Shelf(shelf).place[id]; ok && e.drafts[[2]int{shelf, k}] == nil {
+	if k, ok := e.mirror.Inventory(inventory).place[id]; ok && e.drafts[[2]int{inventory, k}] == nil {
 		return k
 	}
 	return -1
 }
 
 // Find returns a machine's record as edited so far.
-func (e *Edit) Find(shelf int, id core.MachineID) (Machine, bool) {
-	k := e.partOf(shelf, id)
+func (e *Edit) Find(inventory int, id core.MachineID) (Machine, bool) {
+	k := e.partOf(inventory, id)
 	if k < 0 {
 		return Machine{}, false
 	}
-	p := e.drafts[[2]int{shelf, k}]
+	p := e.drafts[[2]int{inventory, k}]
 	if p == nil {
-		p = e.mirror.Shelf(shelf).parts[k].Record
+		p = e.mirror.Inventory(inventory).parts[k].Record
 	}
 	return p.Machines[p.find(id)], true
 }
 
-// All lists a shelf's machines as edited so far.
-func (e *Edit) All(shelf int) (out []Machine) {
-	parts := e.mirror.Shelf(shelf).parts
+// All lists an inventory's machines as edited so far.
+func (e *Edit) All(inventory int) (out []Machine) {
+	parts := e.mirror.Inventory(inventory).parts
 	for _, k := range core.Keys(parts) {
-		if e.drafts[[2]int{shelf, k}] == nil {
+		if e.drafts[[2]int{inventory, k}] == nil {
 			out = append(out, parts[k].Record.Machines...)
 		}
 	}
 	for _, key := range e.order {
-		if key[0] == shelf {
+		if key[0] == inventory {
 			out = append(out, e.drafts[key].Machines...)
 		}
 	}
@@ -299,8 +299,8 @@
 
 // Set replaces a machine's record. It reports false if that does not fit into
 // the transaction.
-func (e *Edit) Set(shelf int, m Machine) bool {
-	p := e.own(shelf, m.ID)
+func (e *Edit) Set(inventory int, m Machine) bool {
+	p := e.own(inventory, m.ID)
 	if p == nil {
 		return false
 	}
@@ -308,20 +308,20 @@
 	return true
 }
 
-// Add puts a machine that is on no shelf onto one. The version of no part says
+// Add puts a machine that is in no inventory into one. The version of no part says
 // that this has not been done elsewhere, so the transaction also raises the
 // count of arrivals: of two that were decided from the same picture, one of
 // them perhaps carried out late, only one can take effect.
-func (e *Edit) Add(shelf int, m Machine) bool {
-	if !e.insert(shelf, m) {
+func (e *Edit) Add(inventory int, m Machine) bool {
+	if !e.insert(inventory, m) {
 		return false
 	}
 	e.added = true
 	return true
 }
 
-func (e *Edit) insert(shelf int, m Machine) bool {
-	p := e.room(shelf, &m)
+func (e *Edit) insert(inventory int, m Machine) bool {
+	p := e.room(inventory, &m)
 	if p == nil {
 		return false
 	}
@@ -329,12 +329,12 @@
 	return true
 }
 
-// Remove takes a machine off a shelf.
-func (e *Edit) Remove(shelf int, id core.MachineID) bool {
-	if e.partOf(shelf, id) < 0 {
+// Remove takes a machine out of an inventory.
+func (e *Edit) Remove(inventory int, id core.MachineID) bool {
+	if e.partOf(inventory, id) < 0 {
 		return true
 	}
-	p := e.own(shelf, id)
+	p := e.own(inventory, id)
 	if p == nil {
 		return false
 	}
@@ -343,7 +343,7 @@
 	return true
 }
 
-// Move takes a machine off one shelf and puts it, as m says, onto another:
+// Move takes a machine out of one inventory and puts it, as m says, into another:
 // both or, if the transaction is full, neither.
 func (e *Edit) Move(from, to int, m Machine) bool {
 	if e.own(from, m.ID) == nil {
@@ -365,7 +365,7 @@
 		t.Then = append(t.Then, Put(keyArrivals, Arrivals{c.Record.Count + 1}))
 	}
 	for _, key := range e.order {
-		have := e.mirror.Shelf(key[0]).parts[key[1]]
+		have := e.mirror.Inventory(key[0]).parts[key[1]]
 		put := Put(keyPart(key[0], key[1]), e.drafts[key])
 		if have.Record != nil {
 			if was, _ := json.Marshal(have.Record); string(was) == string(put.Value) {
--- a/internal/state/shelf_test.go
+++ b/internal/state/inventory_test.go
@@ -75,8 +75,8 @@
 	where := map[core.MachineID]int{}
 	for i := 0; i < fleet; {
 		e := m.Edit(lim, ops, 0)
-		for i < fleet && e.Add(PoolShelf, made(i)) {
-			where[made(i).ID] = PoolShelf
+		for i < fleet && e.Add(PoolInventory, made(i)) {
+			where[made(i).ID] = PoolInventory
 			i++
 		}
 		commit(e)
@@ -97,16 +97,16 @@
 		}
 		commit(e)
 		seen := 0
-		for n := PoolShelf; n < blocks; n++ {
-			for mc := range m.Shelf(n).All() {
+		for n := PoolInventory; n < blocks; n++ {
+			for mc := range m.Inventory(n).All() {
 				seen++
 				if where[mc.ID] != n {
-					t.Fatalf("%s is on shelf %d, not %d", mc.ID, n, where[mc.ID])
+					t.Fatalf("%s is on inventory %d, not %d", mc.ID, n, where[mc.ID])
 				}
 			}
 		}
 		if seen != fleet {
-			t.Fatalf("%d machines on the shelves", seen)
+			t.Fatalf("%d machines on the inventories", seen)
 		}
 	}
 }
@@ -119,12 +119,12 @@
 	m, l := newTestMirror(2), &ledger{versions: map[string]uint64{}}
 	var first, second api.Txn
 	e := m.Edit(lim, 10, 0)
-	e.Add(PoolShelf, made(1))
-	e.Move(PoolShelf, 0, made(1))
+	e.Add(PoolInventory, made(1))
+	e.Move(PoolInventory, 0, made(1))
 	e.Apply(&first)
 	e = m.Edit(lim, 10, 0)
-	e.Add(PoolShelf, made(1))
-	e.Move(PoolShelf, 1, made(1))
+	e.Add(PoolInventory, made(1))
+	e.Move(PoolInventory, 1, made(1))
 	e.Apply(&second)
 	if !l.apply(m, second) || l.apply(m, first) {
 		t.Fatal("the machine is in two blocks")
@@ -132,7 +132,7 @@
 	// A late release must not apply once the machine's part has changed.
 	var release, raise api.Txn
 	e = m.Edit(lim, 10, 2)
-	e.Move(1, PoolShelf, made(1))
+	e.Move(1, PoolInventory, made(1))
 	e.Apply(&release)
 	e = m.Edit(lim, 10, 0)
 	used := made(1)
@@ -171,14 +171,14 @@
 	}
 	for i := range fleet {
 		e := m.Edit(before, 5, 0)
-		e.Add(PoolShelf, made(i))
-		e.Move(PoolShelf, i%blocks, made(i))
+		e.Add(PoolInventory, made(i))
+		e.Move(PoolInventory, i%blocks, made(i))
 		commit(e, before)
 		where[made(i).ID] = i % blocks
 	}
 	long := 0
 	for n := range blocks {
-		for _, p := range m.Shelf(n).parts {
+		for _, p := range m.Inventory(n).parts {
 			if p.Record.size() > now.ValueBytes {
 				long++
 			}
@@ -202,21 +202,21 @@
 		}
 		commit(e, now)
 		seen := map[core.MachineID]int{}
-		for n := PoolShelf; n < blocks; n++ {
-			for mc := range m.Shelf(n).All() {
+		for n := PoolInventory; n < blocks; n++ {
+			for mc := range m.Inventory(n).All() {
 				if seen[mc.ID]++; where[mc.ID] != n || seen[mc.ID] > 1 {
-					t.Fatalf("%s is on shelf %d, not %d, or twice", mc.ID, n, where[mc.ID])
+					t.Fatalf("%s is on inventory %d, not %d, or twice", mc.ID, n, where[mc.ID])
 				}
 			}
 		}
 		if len(seen) != fleet {
-			t.Fatalf("%d machines on the shelves", len(seen))
+			t.Fatalf("%d machines on the inventories", len(seen))
 		}
 	}
-	for n := PoolShelf; n < blocks; n++ {
-		for k, p := range m.Shelf(n).parts {
+	for n := PoolInventory; n < blocks; n++ {
+		for k, p := range m.Inventory(n).parts {
 			if p.Record.size() > now.ValueBytes {
-				t.Errorf("part %d of shelf %d is still too long", k, n)
+				t.Errorf("part %d of inventory %d is still too long", k, n)
 			}
 		}
 	}
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -47,10 +47,10 @@
 	Jobs    map[core.JobID]*JobEntry
 	Rounds  map[int]map[string]*Round
 
-	dependents map[core.JobID][]core.JobID // of jobs that are not known to be over
-	shelves    map[int]*Shelf
-	arrivals   Versioned[Arrivals]
-	versions   map[string]core.Revision
+	dependents  map[core.JobID][]core.JobID // of jobs that are not known to be over
+	inventories map[int]*Inventory
+	arrivals    Versioned[Arrivals]
+	versions    map[string]core.Revision
 
 	// Changed is called after changes have been taken in, with what they touched.
 	Changed func(Touched)
@@ -76,13 +76,13 @@
 // Touched says which kinds of record a batch of changes concerned.
 type Touched struct {
 	Leader, Members, Blocks, Rounds bool
-	Shelves                         []int
+	Inventories                     []int
 	Jobs                            []core.JobID
 }
 
-func (t *Touched) touch(shelf int) {
-	if !slices.Contains(t.Shelves, shelf) {
-		t.Shelves = append(t.Shelves, shelf)
+func (t *Touched) touch(inventory int) {
+	if !slices.Contains(t.Inventories, inventory) {
+		t.Inventories = append(t.Inventories, inventory)
 	}
 }
 
@@ -108,7 +108,7 @@
 
 func (m *Mirror) reset() {
 	m.Leader, m.Term = Versioned[*Leader]{}, Versioned[TermCounter]{}
-	m.shelves, m.arrivals = map[int]*Shelf{}, Versioned[Arrivals]{}
+	m.inventories, m.arrivals = map[int]*Inventory{}, Versioned[Arrivals]{}
 	m.Members = map[core.Host]Versioned[Member]{}
 	m.Blocks = map[int]Versioned[*Block]{}
 	if m.Jobs == nil {
@@ -290,11 +290,11 @@
 			m.arrivals = Versioned[Arrivals]{r, v}
 		}
 	case strings.HasPrefix(key, machines):
-		shelf, part, ok := parsePart(key)
+		inventory, part, ok := parsePart(key)
 		var r Part
 		if ok && !removed && decode(&r) {
-			t.touch(shelf)
-			m.Shelf(shelf).put(part, &r, v)
+			t.touch(inventory)
+			m.Inventory(inventory).put(part, &r, v)
 		}
 	case strings.HasPrefix(key, jobs):
 		id := core.JobID(strings.TrimPrefix(key, jobs))
@@ -391,12 +391,12 @@
 	return out
 }
 
-// Shelf returns the machines of a block or, for PoolShelf, of the pool.
-func (m *Mirror) Shelf(n int) *Shelf {
-	s := m.shelves[n]
+// Inventory returns the machines of a block or, for PoolInventory, of the pool.
+func (m *Mirror) Inventory(n int) *Inventory {
+	s := m.inventories[n]
 	if s == nil {
-		s = newShelf()
-		m.shelves[n] = s
+		s = newInventory()
+		m.inventories[n] = s
 	}
 	return s
 }
@@ -404,7 +404,7 @@
 // MachineBlock returns the block to which a machine belongs.
 func (m *Mirror) MachineBlock(id core.MachineID) (int, bool) {
 	for n := range m.Blocks {
-		if _, ok := m.Shelf(n).place[id]; ok {
+		if _, ok := m.Inventory(n).place[id]; ok {
 			return n, true
 		}
 	}
--- a/internal/state/pipeline.go
+++ b/internal/state/pipeline.go
@@ -30,9 +30,9 @@
 // Cancelled tells whether the job is cancelled, by its own record or with a job before it.
 func (e *JobEntry) Cancelled() bool { return e.withdrawn || e.Phase == JobCancelled }
 
-// Begins tells since when a job may run, and false as long as a job that it needs is not
+// ReadyAt tells since when a job may run, and false as long as a job that it needs is not
 // durably done.
-func (m *Mirror) Begins(e *JobEntry) (core.Wall, bool) {
+func (m *Mirror) ReadyAt(e *JobEntry) (core.Wall, bool) {
 	at := e.At
 	for _, id := range e.needs {
 		before := m.Jobs[id]
@@ -44,9 +44,9 @@
 	return at, true
 }
 
-// Soon tells whether a job that waits for others will be ready before long: each of those
+// ReadySoon tells whether a job that waits for others will be ready before long: each of those
 // that is not done has begun, as far as begun knows.
-func (m *Mirror) Soon(e *JobEntry, begun func(core.JobID) bool) bool {
+func (m *Mirror) ReadySoon(e *JobEntry, begun func(core.JobID) bool) bool {
 	for _, id := range e.needs {
 		before := m.Jobs[id]
 		if before == nil || before.Phase != JobDone && !begun(id) && before.Done.Empty() {
--- a/internal/state/pipeline_test.go
+++ b/internal/state/pipeline_test.go
@@ -99,7 +99,7 @@
 		for _, m := range []*Mirror{h.m, loaded} {
 			for _, id := range ids {
 				e := m.Jobs[core.JobID(id)]
-				_, begins := m.Begins(e)
+				_, begins := m.ReadyAt(e)
 				if e.Cancelled() != cancelled(id) || !e.Over() && begins != ready(id) || (e.Phase == JobDone) != (jobs[id].phase == JobDone) {
 					t.Fatalf("seed %d: %s: cancelled %v, may run %v; want %v, %v", seed, id, e.Cancelled(), begins, cancelled(id), ready(id))
 				}
--- a/internal/state/former_test.go
+++ b/internal/state/previous_test.go
@@ -13,8 +13,8 @@
 // Records as the version in production wrote them (deploy/service.toml) are read, and
 // what is written from them is what that version would have written, field by field. The
 // one new field, `ended` in the record of a done job, is one that it passes over.
-func TestRecordsOfTheFormerVersion(t *testing.T) {
-	raw, err := os.ReadFile("testdata/former.json")
+func TestRecordsOfThePreviousVersion(t *testing.T) {
+	raw, err := os.ReadFile("testdata/previous.json")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,20 +29,20 @@
 	}
 	m.take(events)
 	job := m.Jobs["req-000412"]
-	if at, ok := m.Begins(job); !ok || at != 1700000000123 || job.Over() || job.Done.Len() != 3 || *job.Spec.DeadlineS != 120.5 {
+	if at, ok := m.ReadyAt(job); !ok || at != 1700000000123 || job.Over() || job.Done.Len() != 3 || *job.Spec.DeadlineS != 120.5 {
 		t.Fatalf("%+v", job)
 	}
 	if !m.Jobs["req-000398"].Over() || m.Jobs["req-000398"].Cancelled() || !m.Jobs["req-000399"].Cancelled() {
 		t.Fatal("jobs that are over")
 	}
-	part := func(shelf, k int) *Part { return m.shelves[shelf].parts[k].Record }
+	part := func(inventory, k int) *Part { return m.inventories[inventory].parts[k].Record }
 	var types []api.MachineType
 	for _, typ := range m.Types.Record {
 		types = append(types, typ)
 	}
 	written := map[string]any{
 		KeyJob("req-000412"): job.Job, KeyJob("req-000398"): m.Jobs["req-000398"].Job, KeyJob("req-000399"): job.End(JobCancelled, 0),
-		KeyBlock(1): m.Blocks[1].Record, keyPart(1, 0): part(1, 0), keyPart(PoolShelf, 2): part(PoolShelf, 2),
+		KeyBlock(1): m.Blocks[1].Record, keyPart(1, 0): part(1, 0), keyPart(PoolInventory, 2): part(PoolInventory, 2),
 		KeyRound(1, 41, 3): m.Rounds[1][KeyRound(1, 41, 3)], KeyTerm: m.Term.Record, KeyLeader: m.Leader.Record,
 		KeyMember("stalk-0"): m.Members["stalk-0"].Record, keyArrivals: m.arrivals.Record, KeyTypes: types,
 	}
@@ -55,11 +55,11 @@
 			t.Fatal(err)
 		}
 		if got := Put(key, record).Value; string(got) != want.String() {
-			t.Errorf("%s is written as\n%s, the former version wrote\n%s", key, got, want.String())
+			t.Errorf("%s is written as\n%s, the previous version wrote\n%s", key, got, want.String())
 		}
 	}
-	// What the former version knows of a job that is done.
-	var former struct {
+	// What the previous version knows of a job that is done.
+	var previous struct {
 		Phase    JobPhase
 		Tasks    int
 		At       core.Wall
@@ -67,7 +67,7 @@
 		CPUs     float64
 		MemoryGB float64 `json:"memory"`
 	}
-	if err := json.Unmarshal(Put("", job.End(JobDone, 99)).Value, &former); err != nil || former.Phase != JobDone || former.Tasks != 4 || former.CPUs != 8 || former.MemoryGB != 64 {
-		t.Fatalf("%+v, %v", former, err)
+	if err := json.Unmarshal(Put("", job.End(JobDone, 99)).Value, &previous); err != nil || previous.Phase != JobDone || previous.Tasks != 4 || previous.CPUs != 8 || previous.MemoryGB != 64 {
+		t.Fatalf("%+v, %v", previous, err)
 	}
 }
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -64,12 +64,12 @@
 	Term   core.Term   `json:"term"`
 }
 
-// TermCounter is the one counter from which all terms are drawn.
+// TermCounter is the one counter from which all terms are allocated.
 type TermCounter struct {
 	Last core.Term `json:"last"`
 }
 
-// Arrivals counts the transactions that brought machines onto the shelves.
+// Arrivals counts the transactions that brought machines into the inventories.
 type Arrivals struct {
 	Count uint64 `json:"count"`
 }
@@ -94,7 +94,7 @@
 	Since core.Wall `json:"since,omitempty"`
 	// Seen is the term under which its last block commanded it (pool only).
 	Seen core.Term `json:"seen,omitempty"`
-	// Term is drawn when the machine is assigned to a block; the holder commands
+	// Term is allocated when the machine is assigned to a block; the holder commands
 	// it under this or, once the block has been granted anew, the block's.
 	Term core.Term `json:"term,omitempty"`
 	// Fate says what becomes of a machine in the pool.
@@ -113,7 +113,7 @@
 	Gone Fate = "gone"
 )
 
-// Block is the record of a block; its machines are on the shelf of its number.
+// Block is the record of a block; its machines are in the inventory of its number.
 type Block struct {
 	Number int         `json:"number"`
 	Holder core.Host   `json:"holder"`
