--- /dev/null
+++ b/internal/block/hints.go
@@ -0,0 +1,62 @@
+package block
+
+import (
+	"lichenstair/api"
+	"lichenstair/internal/core"
+	"lichenstair/internal/peer"
+)
+
+// Hint tells the other controllers how the block stands.
+func (h *Holder) Hint() peer.BlockHint {
+	hint := peer.BlockHint{Number: h.number, Granted: h.term, Placing: h.state == placing}
+	for _, j := range h.jobs {
+		hint.Waiting += max(j.waiting(), 0)
+	}
+	for _, id := range core.Keys(h.machines) {
+		switch m := h.machines[id]; {
+		case m.state == live:
+			hint.Live++
+			if m.empty() {
+				hint.Idle = append(hint.Idle, id)
+			}
+		case m.state == silent || m.state == unsure || m.state == lapsed && m.up:
+			hint.Silent++
+		}
+	}
+	return hint
+}
+
+// RunningHints tells the other controllers what runs in the block, for display.
+func (h *Holder) RunningHints() (out []peer.RunningHint) {
+	for _, id := range core.Keys(h.jobs) {
+		if n := h.Running(id); n > 0 {
+			out = append(out, peer.RunningHint{Job: id, Tasks: n})
+		}
+	}
+	return out
+}
+
+// Failing lists the jobs that are tried one task at a time.
+func (h *Holder) Failing() (out []core.JobID) {
+	for _, id := range core.Keys(h.jobs) {
+		if h.jobs[id].probing() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Running counts the tasks of a job that run, for display.
+func (h *Holder) Running(id core.JobID) int {
+	j := h.jobs[id]
+	if j == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range j.slots {
+		if s.state == present && s.view != api.TaskFetching {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -1,10 +1,8 @@
 package block
 
 import (
-	"sort"
 	"time"
 
-	"lichenstair/api"
 	"lichenstair/internal/capacity"
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
@@ -102,58 +100,6 @@
 	h.flushReady()
 }
 
-// deferArrays chooses, team by team, the arrays that give way where not all can be
-// in time. A team can use what its arrays have and what is free, or what it is
-// guaranteed, up to its limit.
-func (h *Holder) deferArrays(jobs []*placement.Job, machines []*placement.Machine, teams map[string]*placement.Team) {
-	free := 0.0
-	for _, m := range machines {
-		if !m.Kept && !m.Asked {
-			free += m.Free().CPUs
-		}
-	}
-	timed := map[string][]*placement.Job{}
-	listed := map[core.JobID]bool{}
-	for _, j := range jobs {
-		listed[j.ID] = true
-		if len(j.Timing.Due) > 0 && j.Late == 0 {
-			timed[j.Team] = append(timed[j.Team], j)
-		}
-	}
-	have := map[string]float64{}
-	running := map[string]float64{}
-	for _, j := range h.jobs {
-		if j.gang() {
-			continue
-		}
-		have[j.spec.Team] += j.need.CPUs * float64(j.live())
-		if !listed[j.id] {
-			running[j.spec.Team] += j.work()
-		}
-	}
-	for _, t := range h.Mirror.Teams(h.Config.Teams) {
-		team := teams[t.Name]
-		cpus := min(max(have[t.Name]+free, t.CPUs), t.CPUsMax-(team.Used.CPUs-have[t.Name]))
-		placement.Defer(h.Loop.Wall(), cpus, running[t.Name], timed[t.Name])
-		placement.OrderByDue(h.Loop.Wall(), cpus, running[t.Name], timed[t.Name])
-	}
-}
-
-// keptNow lists the kinds of machine that arrays must leave alone: those always
-// kept for gangs, and those that a gang waits for now.
-func (h *Holder) keptNow(jobs []*placement.Job, types map[string]api.MachineType) capacity.KeptKinds {
-	kept := h.Kept()
-	for _, j := range jobs {
-		if !j.Gang || j.Probe {
-			continue
-		}
-		for _, name := range capacity.Scarce(j, types) {
-			kept.Add(name, j)
-		}
-	}
-	return kept
-}
-
 // ends is when a task ends by estimate; one that overruns is given more time,
 // in growing steps, instead of being expected to end at any moment.
 func (h *Holder) ends(s *slot, now core.Time) core.Time {
@@ -164,104 +110,6 @@
 	return now.Add(max(over/2, time.Second))
 }
 
-// candidates lists the jobs with waiting tasks for the placement.
-func (h *Holder) candidates(now core.Time) []*placement.Job {
-	var all []*job
-	for _, j := range h.jobs {
-		all = append(all, j)
-	}
-	sort.Slice(all, func(a, b int) bool {
-		if all[a].at != all[b].at {
-			return all[a].at < all[b].at
-		}
-		return all[a].id < all[b].id
-	})
-	guarantees := capacity.NewGuarantees(h.Config.Teams)
-	zones := h.zones()
-	wall := h.Loop.Wall()
-	var out []*placement.Job
-	for _, j := range all {
-		if j.blocked {
-			continue
-		}
-		guaranteed := guarantees.Within(j.spec.Team, j.need.CPUs*float64(j.spec.Tasks-j.done.Len()))
-		waiting := j.waiting()
-		if waiting <= 0 || j.broken || j.cancelled || j.holdoff > now {
-			if j.holdoff > now {
-				h.dirty = true
-			}
-			continue
-		}
-		if j.gang() && len(j.slots) > 0 {
-			continue
-		}
-		described := placement.JobOf(j.id, j.at, j.spec)
-		p := &described
-		p.Rank = j.rank
-		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, zones[j.id], map[core.MachineID]bool{}, guaranteed
-		if capacity.Late(h.Config.Aims, j.spec, j.sent, j.at, wall) {
-			p.Late = len(h.Config.Aims)
-		}
-		p.Timed = guaranteed || j.due > 0 || capacity.Timed(h.Config.Aims, j.spec)
-		j.noteWait(now, time.Duration(wall-j.at)*time.Millisecond)
-		p.Starvation = j.starvation(now)
-		if p.Starvation != placement.NotStarving && !j.gang() {
-			p.Waiting = 1
-		}
-		if j.probing() {
-			if !j.gang() {
-				p.Waiting = min(waiting, 1-j.live())
-			}
-			if p.Waiting <= 0 {
-				continue
-			}
-			p.Probe = true
-		}
-		if p.Overdue = capacity.Overdue(j.at, wall, j.begun()); p.Overdue {
-			// It begins before all else, whatever its rank, but with one task if it
-			// can: the rest waits as its rank says. Low ranks that came while others
-			// used everything had not begun after four minutes.
-			p.Rank = placement.TopRank
-			if !j.gang() {
-				p.Waiting = 1
-			}
-		}
-		p.Timing = placement.Timing{Due: capacity.Due(h.Config.Aims, j.spec, j.sent, j.at, j.due), Work: j.work()}
-		for id, until := range j.avoid {
-			if until > now {
-				p.Avoid[id] = true
-				h.dirty = true
-			} else {
-				delete(j.avoid, id)
-			}
-		}
-		out = append(out, p)
-	}
-	return out
-}
-
-// zones counts the tasks booked on machines, by job and zone, for the jobs to which
-// zones matter.
-func (h *Holder) zones() map[core.JobID]map[string]int {
-	out := map[core.JobID]map[string]int{}
-	for id, j := range h.jobs {
-		if j.spec.OneZone || j.spec.Scatter {
-			out[id] = map[string]int{}
-		}
-	}
-	if len(out) == 0 {
-		return out
-	}
-	for _, m := range h.machines {
-		for _, s := range m.slots {
-			if zones := out[s.task.Job]; zones != nil && s.booked() {
-				zones[m.zone]++
-			}
-		}
-	}
-	return out
-}
-
 // plan books a task on a machine; the start goes out with its next report.
 func (h *Holder) plan(j *job, m *machine) {
 	i, ok := j.next()
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,90 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/prototext"
+
+	"lichenstair/internal/config/settingspb"
+	"lichenstair/internal/core"
+)
+
+// Operator holds the operators' own settings with defaults filled in.
+type Operator struct {
+	Tenure      time.Duration
+	Blocks      int
+	Idle        time.Duration
+	MemoryShare float64
+	RetryAfter  time.Duration
+}
+
+func parseOperator(text []byte, nodes int) (Operator, error) {
+	var pb settingspb.Settings
+	if err := prototext.Unmarshal(text, &pb); err != nil {
+		return Operator{}, named(text, err)
+	}
+	refuse := func(field, problem string) error {
+		at := regexp.MustCompile(`(?m)\b` + field + `\b`).FindIndex(text)
+		line := 1 + bytes.Count(text[:at[0]], []byte("\n"))
+		return fmt.Errorf("line %d:%d: %s: %s", line, at[0]-bytes.LastIndexByte(text[:at[0]], '\n'), field, problem)
+	}
+	o := Operator{Tenure: 5 * time.Second, Blocks: nodes, Idle: 20 * time.Second, MemoryShare: 0.7, RetryAfter: time.Second}
+	if pb.TenureS != nil {
+		if !(*pb.TenureS >= 1 && *pb.TenureS <= 600) {
+			return o, refuse("tenure_s", "must be from 1 to 600")
+		}
+		o.Tenure = core.Seconds(*pb.TenureS)
+	}
+	if pb.Blocks != nil && *pb.Blocks > 0 {
+		if *pb.Blocks > 1000 {
+			return o, refuse("blocks", "must be at most 1000")
+		}
+		o.Blocks = int(*pb.Blocks)
+	}
+	if pb.IdleS != nil {
+		if !(*pb.IdleS >= 0 && *pb.IdleS <= 86400) {
+			return o, refuse("idle_s", "must be from 0 to 86400")
+		}
+		o.Idle = core.Seconds(*pb.IdleS)
+	}
+	if pb.MemoryShare != nil {
+		if !(*pb.MemoryShare > 0 && *pb.MemoryShare <= 1) {
+			return o, refuse("memory_share", "must be above 0 and at most 1")
+		}
+		o.MemoryShare = *pb.MemoryShare
+	}
+	if pb.RetryAfterS != nil {
+		if !(*pb.RetryAfterS >= 1 && *pb.RetryAfterS <= 30) {
+			return o, refuse("retry_after_s", "must be from 1 to 30")
+		}
+		o.RetryAfter = core.Seconds(*pb.RetryAfterS)
+	}
+	return o, nil
+}
+
+var place = regexp.MustCompile(`\(line (\d+):(\d+)\)`)
+
+// named adds to an error of the text format the field at whose value it was met.
+func named(text []byte, err error) error {
+	at := place.FindStringSubmatch(err.Error())
+	if at == nil {
+		return err
+	}
+	line, _ := strconv.Atoi(at[1])
+	col, _ := strconv.Atoi(at[2])
+	lines := strings.Split(string(text), "\n")
+	if line < 1 || line > len(lines) {
+		return err
+	}
+	before := lines[line-1][:min(max(col-1, 0), len(lines[line-1]))]
+	fields := regexp.MustCompile(`[a-z_]+`).FindAllString(before, -1)
+	if len(fields) == 0 {
+		return err
+	}
+	return fmt.Errorf("%s: %w", fields[len(fields)-1], err)
+}
--- /dev/null
+++ b/internal/config/platform.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"lichenstair/internal/core"
+)
+
+type file struct {
+	Host  *string `toml:"host_name"`
+	Zone  *string `toml:"area"`
+	Bind  *string `toml:"bind"`
+	Peer  *string `toml:"peer_listen"`
+	Seeds []struct {
+		Host *string `toml:"host_name"`
+		Addr *string `toml:"address"`
+	} `toml:"seeds"`
+	Endpoints struct {
+		Cloud *string `toml:"cloud"`
+		State *string `toml:"state"`
+	} `toml:"endpoints"`
+	Settings struct {
+		Count *int     `toml:"count"`
+		Zones []string `toml:"zones"`
+		Teams []struct {
+			Name    *string  `toml:"name"`
+			CPUs    *float64 `toml:"cpus"`
+			CPUsMax *float64 `toml:"cpus_max"`
+			GPUs    float64  `toml:"gpus"`
+			GPUsMax float64  `toml:"gpus_max"`
+		} `toml:"teams"`
+		Objectives []struct {
+			Kind    string  `toml:"kind"`
+			Class   string  `toml:"class"`
+			WithinS float64 `toml:"within_s"`
+			Share   float64 `toml:"share"`
+			Times   float64 `toml:"times"`
+		} `toml:"objectives"`
+		Workers struct {
+			ReportS   *float64 `toml:"report_s"`
+			LeaseS    *float64 `toml:"lease_s"`
+			GangWaitS *float64 `toml:"gang_wait_s"`
+			GangPeerS *float64 `toml:"gang_peer_s"`
+			CancelS   *float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      *float64 `toml:"rps"`
+			WriteRPS *float64 `toml:"write_rps"`
+			ValueKB  *float64 `toml:"value_kb"`
+			TxnOps   *int     `toml:"txn_ops"`
+			// Next holds the limits that the service will have from some moment on.
+			Next struct {
+				RPS      *float64 `toml:"rps"`
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int     `toml:"txn_ops"`
+			} `toml:"next"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      *float64 `toml:"rps"`
+			ListLagS *float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Limits struct {
+			CoreShare *float64 `toml:"core_share"`
+			MemoryMB  *float64 `toml:"ram_mb"`
+			Sockets   *int     `toml:"fd_limit"`
+		} `toml:"limits"`
+	} `toml:"settings"`
+}
+
+func parse(raw []byte) (*Config, error) {
+	var f file
+	if err := toml.Unmarshal(raw, &f); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, col := de.Position()
+			return nil, fmt.Errorf("line %d, column %d: %s: %v", row, col, joinKey(de.Key()), de)
+		}
+		return nil, err
+	}
+	k := &checker{}
+	s := &f.Settings
+	c := &Config{
+		Host: core.Host(k.text("host_name", f.Host)), Zone: k.text("area", f.Zone),
+		Bind: k.addr("bind", f.Bind), PeerBind: k.addr("peer_listen", f.Peer),
+		Cloud: k.addr("endpoints.cloud", f.Endpoints.Cloud), State: k.addr("endpoints.state", f.Endpoints.State),
+		Nodes: k.whole("settings.count", s.Count), Zones: s.Zones,
+		Workers: Workers{
+			Report: k.seconds("settings.workers.report_s", s.Workers.ReportS), Lease: k.seconds("settings.workers.lease_s", s.Workers.LeaseS),
+			GangWait: k.seconds("settings.workers.gang_wait_s", s.Workers.GangWaitS), GangPeer: k.seconds("settings.workers.gang_peer_s", s.Workers.GangPeerS),
+			Cancel: k.seconds("settings.workers.cancel_s", s.Workers.CancelS),
+		},
+		StateLim: StateLimits{
+			RPS: k.positive("settings.state.rps", s.State.RPS), WriteRPS: k.positive("settings.state.write_rps", s.State.WriteRPS),
+			ValueBytes: int(k.positive("settings.state.value_kb", s.State.ValueKB) * 1024), TxnOps: k.whole("settings.state.txn_ops", s.State.TxnOps),
+		},
+		CloudLim: CloudLimits{RPS: k.positive("settings.cloud.rps", s.Cloud.RPS), ListLag: k.seconds("settings.cloud.list_lag_s", s.Cloud.ListLagS)},
+		Limits: Limits{
+			CoreShare: k.positive("settings.limits.core_share", s.Limits.CoreShare), MemoryBytes: int64(k.positive("settings.limits.ram_mb", s.Limits.MemoryMB) * (1 << 20)),
+			Sockets: k.whole("settings.limits.fd_limit", s.Limits.Sockets),
+		},
+	}
+	// The service lowers its limits without notice, so the lower of both are kept from
+	// the start. What is not named stays as it is.
+	next, now := &s.State.Next, &c.StateLim
+	if next.RPS != nil {
+		now.RPS = min(now.RPS, k.positive("settings.state.next.rps", next.RPS))
+	}
+	if next.WriteRPS != nil {
+		now.WriteRPS = min(now.WriteRPS, k.positive("settings.state.next.write_rps", next.WriteRPS))
+	}
+	if next.ValueKB != nil {
+		now.ValueBytes = min(now.ValueBytes, int(k.positive("settings.state.next.value_kb", next.ValueKB)*1024))
+	}
+	if next.TxnOps != nil {
+		now.TxnOps = min(now.TxnOps, k.whole("settings.state.next.txn_ops", next.TxnOps))
+	}
+	if c.Workers.Cancel <= c.Workers.Lease {
+		k.fail("settings.workers.cancel_s", "must be longer than lease_s")
+	}
+	if len(s.Zones) == 0 {
+		k.fail("settings.zones", "missing")
+	}
+	for i, p := range f.Seeds {
+		c.Peers = append(c.Peers, Peer{core.Host(k.text(fmt.Sprintf("seeds[%d].host_name", i), p.Host)), k.addr(fmt.Sprintf("seeds[%d].address", i), p.Addr)})
+	}
+	if len(s.Teams) == 0 {
+		k.fail("settings.teams", "missing")
+	}
+	seen := map[string]bool{}
+	for i, t := range s.Teams {
+		at := fmt.Sprintf("settings.teams[%d].", i)
+		team := Team{
+			Name: k.text(at+"name", t.Name), CPUs: k.atLeastZero(at+"cpus", need(k, at+"cpus", t.CPUs)), CPUsMax: k.atLeastZero(at+"cpus_max", need(k, at+"cpus_max", t.CPUsMax)),
+			GPUs: k.atLeastZero(at+"gpus", t.GPUs), GPUsMax: k.atLeastZero(at+"gpus_max", t.GPUsMax),
+		}
+		if seen[team.Name] {
+			k.fail(at+"name", fmt.Sprintf("%q stands twice", team.Name))
+		}
+		seen[team.Name] = true
+		if team.CPUsMax == 0 {
+			// A limit of 0 says that there is none. Refused as wrong, a borrowing team's
+			// line kept every controller from starting (docs/incidents/inc-39d9.md).
+			team.CPUsMax = Unlimited
+			if team.GPUsMax == 0 {
+				team.GPUsMax = Unlimited
+			}
+		}
+		c.Teams = append(c.Teams, team)
+	}
+	for _, o := range s.Objectives {
+		c.Aims = append(c.Aims, Aim{o.Kind, o.Class, core.Seconds(o.WithinS), o.Share, o.Times})
+	}
+	return c, k.err
+}
+
+func joinKey(key toml.Key) string {
+	if len(key) == 0 {
+		return "not TOML"
+	}
+	out := key[0]
+	for _, p := range key[1:] {
+		out += "." + p
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/proof.go
@@ -0,0 +1,111 @@
+package state
+
+import (
+	"encoding/json"
+
+	"lichenstair/api"
+	"lichenstair/internal/core"
+)
+
+type await struct {
+	ring core.Revision
+	due  core.Time
+	done func(bool)
+}
+
+// Shows tells whether the mirror shows everything up to a revision.
+func (m *Mirror) Shows(r core.Revision) bool { return m.complete && m.ring >= r }
+
+// Contact returns a time up to which the mirror is known to show everything.
+func (m *Mirror) Contact() (core.Time, bool) { return m.fresh, m.hasFresh }
+
+// Await calls done(true) once the mirror has reached a revision, or done(false)
+// when that takes too long.
+func (m *Mirror) Await(ring core.Revision, done func(bool)) {
+	if m.Shows(ring) {
+		done(true)
+		return
+	}
+	due := m.loop.Now().Add(freshWait)
+	m.awaiting = append(m.awaiting, await{ring, due, done})
+	m.loop.After(freshWait, m.settle)
+}
+
+func (m *Mirror) settle() {
+	now := m.loop.Now()
+	var ready []func()
+	keep := m.awaiting[:0:0]
+	for _, a := range m.awaiting {
+		switch {
+		case m.Shows(a.ring):
+			ready = append(ready, func() { a.done(true) })
+		case now >= a.due:
+			ready = append(ready, func() { a.done(false) })
+		default:
+			keep = append(keep, a)
+		}
+	}
+	m.awaiting = keep
+	for _, f := range ready {
+		f()
+	}
+}
+
+// Fresh calls done(true) once the mirror shows everything that had happened
+// when Fresh was called. All who ask meanwhile share one question to the state
+// service: a transaction without changes, whose revision the mirror must reach.
+func (m *Mirror) Fresh(done func(bool)) {
+	if len(m.waiting) >= maxWaiting {
+		done(false)
+		return
+	}
+	m.waiting = append(m.waiting, done)
+	if !m.asking {
+		m.ask()
+	}
+}
+
+func (m *Mirror) ask() {
+	batch := m.waiting
+	m.waiting = nil
+	m.asking = true
+	answer := func(ok bool) {
+		for _, f := range batch {
+			f(ok)
+		}
+	}
+	asked := core.Time(0)
+	m.client.index(func() { asked = m.loop.Now() }, func(r Result) {
+		m.asking = false
+		if r.Outcome == Applied || r.Outcome == Conflict {
+			m.Await(r.Revision, func(ok bool) {
+				if ok && (!m.hasFresh || asked > m.fresh) {
+					m.fresh, m.hasFresh = asked, true
+				}
+				if !ok && m.phase == following {
+					// The service answers but the watch brings nothing: its
+					// connection may hang. Open another.
+					m.become(following)
+				}
+				answer(ok)
+			})
+		} else {
+			answer(false)
+		}
+		if len(m.waiting) > 0 && !m.asking {
+			m.asking = true
+			m.loop.After(m.client.Spacing(), m.ask)
+		}
+	})
+}
+
+// index sends the compare-only transaction; sending runs just before.
+func (c *Client) index(sending func(), done func(Result)) {
+	body, _ := json.Marshal(api.Txn{If: []api.Condition{{Key: keyNever}}})
+	c.enqueue(reads, 0, func() {
+		sending()
+		c.call.Call(core.Request{Addr: c.addr, Method: "POST", Path: "/txn", Body: body, Timeout: txnTimeout}, func(r core.Response) {
+			done(txnResult(r))
+		})
+	}, func() { done(Result{Outcome: Refused}) })
+}
