--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -50,124 +50,166 @@
 	return m.versions[key]
 }
 
+// apply takes in one change of a key.
 func (m *Mirror) apply(key string, e api.Event, t *Touched) {
-	v := core.Revision(e.Version)
-	removed := e.Remove != ""
-	decode := func(into any) bool {
-		if err := api.Decode(e.Value, into); err != nil {
-			m.log.Error("unreadable record", "key", key, "error", err)
-			return false
-		}
-		return true
-	}
 	switch {
 	case key == KeyLeader:
 		t.Leader = true
-		m.Leader = Versioned[*Leader]{}
-		var r Leader
-		if !removed && decode(&r) {
-			m.Leader = Versioned[*Leader]{&r, v}
-		}
+		m.Leader = decoded(m, key, e, func(r *Leader) *Leader { return r })
 	case key == KeyTerm:
-		var r TermCounter
-		if !removed && decode(&r) {
-			m.Term = Versioned[TermCounter]{r, v}
+		if term := decoded(m, key, e, func(r *TermCounter) TermCounter { return *r }); term.Version > 0 {
+			m.Term = term
 		}
 	case key == KeyTypes:
-		var r []api.MachineType
-		if !removed && decode(&r) {
-			m.Types = Versioned[map[string]api.MachineType]{Record: map[string]api.MachineType{}, Version: v}
-			for _, typ := range r {
-				m.Types.Record[typ.Name] = typ
-			}
+		m.applyTypes(key, e)
+	case key == keyArrivals:
+		if arrivals := decoded(m, key, e, func(r *Arrivals) Arrivals { return *r }); arrivals.Version > 0 {
+			m.arrivals = arrivals
 		}
 	case strings.HasPrefix(key, members):
 		t.Members = true
-		h := core.Host(strings.TrimPrefix(key, members))
-		delete(m.Members, h)
-		var r Member
-		if !removed && decode(&r) {
-			m.Members[h] = Versioned[Member]{r, v}
-		}
+		m.applyMember(key, e)
 	case strings.HasPrefix(key, blocks):
 		t.Blocks = true
-		n, err := strconv.Atoi(strings.TrimPrefix(key, blocks))
-		var r Block
-		if err == nil && !removed && decode(&r) {
-			m.Blocks[n] = Versioned[*Block]{&r, v}
-		}
-	case key == keyArrivals:
-		var r Arrivals
-		if !removed && decode(&r) {
-			m.arrivals = Versioned[Arrivals]{r, v}
-		}
+		m.applyBlock(key, e)
 	case strings.HasPrefix(key, machines):
-		inventory, part, ok := parsePart(key)
-		var r Part
-		if ok && !removed && decode(&r) {
-			t.touch(inventory)
-			m.Inventory(inventory).put(part, &r, v)
-		}
+		m.applyPart(key, e, t)
 	case strings.HasPrefix(key, jobs):
-		id := core.JobID(strings.TrimPrefix(key, jobs))
-		var r Job
-		if removed || !decode(&r) {
-			return
-		}
-		t.job(id)
-		entry := m.Jobs[id]
-		known := entry != nil
-		if entry == nil {
-			entry = &JobEntry{}
-			m.Jobs[id] = entry
-			for _, rs := range m.Rounds {
-				for _, round := range rs {
-					entry.Done.Union(round.Done[id])
-				}
-			}
-		}
-		if entry.Job.Over() && entry.Tasks > 0 && !r.Over() {
-			m.log.Error("a job that was over is called unfinished", "job", id)
-			return
-		}
-		entry.Job, entry.Version = r, v
-		switch {
-		case r.Over():
-			entry.Spec, entry.Done, entry.needs = nil, core.Set{}, nil
-			m.settled(id, entry, t)
-		case entry.withdrawn:
-			entry.Spec = nil
-		default:
-			m.link(id, entry, t)
-			if !known {
-				// Keys are loaded in their order, not in that of the jobs.
-				for _, after := range m.dependents[id] {
-					m.inherit(after, t)
-				}
-			}
-		}
-		delete(m.versions, key) // the entry keeps its version itself
+		m.applyJob(key, e, t)
 	case strings.HasPrefix(key, rounds):
 		t.Rounds = true
-		n := blockOfRound(key)
-		if removed {
-			delete(m.Rounds[n], key)
-			delete(m.versions, key)
-			return
-		}
-		var r Round
-		if !decode(&r) {
-			return
+		m.applyRound(key, e, t)
+	}
+}
+
+// decode reads the record of a change; false if the key was removed or the record cannot
+// be read.
+func (m *Mirror) decode(key string, e api.Event, into any) bool {
+	if e.Remove != "" {
+		return false
+	}
+	if err := api.Decode(e.Value, into); err != nil {
+		m.log.Error("unreadable record", "key", key, "error", err)
+		return false
+	}
+	return true
+}
+
+// decoded is the record of a change with its version, or nothing of either.
+func decoded[R, T any](m *Mirror, key string, e api.Event, as func(*R) T) (out Versioned[T]) {
+	var record R
+	if m.decode(key, e, &record) {
+		out = Versioned[T]{as(&record), core.Revision(e.Version)}
+	}
+	return out
+}
+
+func (m *Mirror) applyTypes(key string, e api.Event) {
+	var list []api.MachineType
+	if !m.decode(key, e, &list) {
+		return
+	}
+	m.Types = Versioned[map[string]api.MachineType]{Record: map[string]api.MachineType{}, Version: core.Revision(e.Version)}
+	for _, t := range list {
+		m.Types.Record[t.Name] = t
+	}
+}
+
+func (m *Mirror) applyMember(key string, e api.Event) {
+	host := core.Host(strings.TrimPrefix(key, members))
+	delete(m.Members, host)
+	if member := decoded(m, key, e, func(r *Member) Member { return *r }); member.Version > 0 {
+		m.Members[host] = member
+	}
+}
+
+func (m *Mirror) applyBlock(key string, e api.Event) {
+	number, err := strconv.Atoi(strings.TrimPrefix(key, blocks))
+	if err != nil {
+		return
+	}
+	if block := decoded(m, key, e, func(r *Block) *Block { return r }); block.Version > 0 {
+		m.Blocks[number] = block
+	}
+}
+
+func (m *Mirror) applyPart(key string, e api.Event, t *Touched) {
+	number, part, ok := parsePart(key)
+	var record Part
+	if ok && m.decode(key, e, &record) {
+		t.touch(number)
+		m.Inventory(number).put(part, &record, core.Revision(e.Version))
+	}
+}
+
+// applyJob takes in the record of a job. One that is over stays so: no change can make it
+// unfinished again.
+func (m *Mirror) applyJob(key string, e api.Event, t *Touched) {
+	id := core.JobID(strings.TrimPrefix(key, jobs))
+	var record Job
+	if !m.decode(key, e, &record) {
+		return
+	}
+	t.job(id)
+	entry := m.Jobs[id]
+	known := entry != nil
+	if !known {
+		entry = m.newEntry(id)
+	}
+	if entry.Job.Over() && entry.Tasks > 0 && !record.Over() {
+		m.log.Error("a job that was over is called unfinished", "job", id)
+		return
+	}
+	entry.Job, entry.Version = record, core.Revision(e.Version)
+	switch {
+	case record.Over():
+		entry.Spec, entry.Done, entry.needs = nil, core.Set{}, nil
+		m.settled(id, entry, t)
+	case entry.withdrawn:
+		entry.Spec = nil
+	default:
+		m.link(id, entry, t)
+		if !known {
+			// Keys are loaded in their order, not in that of the jobs.
+			for _, dependent := range m.dependents[id] {
+				m.inherit(dependent, t)
+			}
 		}
-		if m.Rounds[n] == nil {
-			m.Rounds[n] = map[string]*Round{}
+	}
+	delete(m.versions, key) // the entry keeps its version itself
+}
+
+// newEntry makes the entry of a job, with the tasks that rounds already tell to be done.
+func (m *Mirror) newEntry(id core.JobID) *JobEntry {
+	entry := &JobEntry{}
+	m.Jobs[id] = entry
+	for _, ofBlock := range m.Rounds {
+		for _, round := range ofBlock {
+			entry.Done.Union(round.Done[id])
 		}
-		m.Rounds[n][key] = &r
-		for id, set := range r.Done {
-			if j := m.Jobs[id]; j != nil && !j.Over() {
-				j.Done.Union(set)
-				t.Jobs = append(t.Jobs, id)
-			}
+	}
+	return entry
+}
+
+func (m *Mirror) applyRound(key string, e api.Event, t *Touched) {
+	number := blockOfRound(key)
+	if e.Remove != "" {
+		delete(m.Rounds[number], key)
+		delete(m.versions, key)
+		return
+	}
+	var record Round
+	if !m.decode(key, e, &record) {
+		return
+	}
+	if m.Rounds[number] == nil {
+		m.Rounds[number] = map[string]*Round{}
+	}
+	m.Rounds[number][key] = &record
+	for id, set := range record.Done {
+		if entry := m.Jobs[id]; entry != nil && !entry.Over() {
+			entry.Done.Union(set)
+			t.Jobs = append(t.Jobs, id)
 		}
 	}
 }
