--- a/internal/leader/grant.go
+++ b/internal/leader/grant.go
@@ -2,163 +2,36 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"lichenstair/api"
-	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/state"
 )
 
-// found creates the blocks, gives teams that are new to a block, and writes down what
-// each may use.
-func (l *Leader) found(t *api.Txn) {
-	teams := append([]config.Team{}, l.Config.Teams...)
-	sort.SliceStable(teams, func(a, b int) bool { return teams[a].CPUs > teams[b].CPUs })
-	weight := map[int]float64{}
-	known := map[string]bool{}
-	out := map[int]*state.Block{}
-	if len(l.Mirror.Blocks) == 0 {
-		n := min(l.Config.Operator.Blocks, l.Config.StateLim.TxnOps-4, len(teams))
-		live := l.live()
-		if len(live) == 0 {
-			return
-		}
-		first := l.allocateTerms(t, n)
-		for i := range n {
-			m := live[i%len(live)]
-			out[i] = &state.Block{Number: i, Holder: m.Host, Tenure: m.Tenure, Term: first + core.Term(i)}
-		}
-	}
-	numbers := []int{}
-	for n, b := range l.Mirror.Blocks {
-		numbers = append(numbers, n)
-		for _, name := range b.Record.Teams {
-			known[name] = true
-			for _, team := range teams {
-				if team.Name == name {
-					weight[n] += team.CPUs
-				}
-			}
-		}
-	}
-	for n := range out {
-		numbers = append(numbers, n)
-	}
-	sort.Ints(numbers)
-	draft := func(n int) *state.Block {
-		if out[n] == nil {
-			out[n] = l.Mirror.Blocks[n].Record.Clone()
-		}
-		return out[n]
-	}
-	for _, team := range teams {
-		if known[team.Name] || len(numbers) == 0 {
-			continue
-		}
-		least := numbers[0]
-		for _, n := range numbers {
-			if weight[n] < weight[least] {
-				least = n
-			}
-		}
-		draft(least).Teams = append(draft(least).Teams, team.Name)
-		weight[least] += team.CPUs
-	}
-	for _, n := range numbers {
-		rec := out[n]
-		if rec == nil {
-			rec = l.Mirror.Blocks[n].Record
-		}
-		for _, team := range teams {
-			limit := state.Limit{CPUs: team.CPUsMax, GPUs: team.GPUsMax}
-			if slices.Contains(rec.Teams, team.Name) && rec.Limits[team.Name] != limit {
-				rec = draft(n)
-				if rec.Limits == nil {
-					rec.Limits = map[string]state.Limit{}
-				}
-				rec.Limits[team.Name] = limit
-			}
-		}
-	}
-	for _, n := range numbers {
-		if out[n] != nil {
-			l.setBlock(t, out[n])
-		}
-	}
-}
-
 // grant gives blocks without a live holder to a live controller, and spreads
 // them again once a controller has been back for a moment.
 func (l *Leader) grant(t *api.Txn) {
 	now := l.Loop.Now()
 	live := l.live()
-	for _, m := range live {
-		if _, ok := l.stable[m.Host]; !ok {
-			l.stable[m.Host] = now
-		}
-	}
-	for h := range l.stable {
-		if _, ok := l.Mirror.Members[h]; !ok {
-			delete(l.stable, h)
-		}
-	}
+	l.noteStable(live, now)
 	if len(live) == 0 {
 		return
 	}
-	count := map[core.Host]int{}
-	var numbers []int
-	for n, b := range l.Mirror.Blocks {
-		numbers = append(numbers, n)
-		if l.holds(b.Record) {
-			count[b.Record.Holder]++
-		}
-	}
-	sort.Ints(numbers)
-	fewest := func() state.Member {
-		best := live[0]
-		for _, m := range live {
-			if count[m.Host] < count[best.Host] {
-				best = m
-			}
-		}
-		return best
-	}
 	// Controllers that lately did not hear their machines get no blocks as long
 	// as others can take them.
 	if hearing := slices.DeleteFunc(slices.Clone(live), func(m state.Member) bool { return now < l.isolations[m.Tenure].until }); len(hearing) > 0 {
 		live = hearing
 	}
-	var moves []*state.Block
-	for _, n := range numbers {
-		b := l.Mirror.Blocks[n].Record
-		if l.holds(b) || len(moves) >= (l.Config.StateLim.TxnOps-2) {
-			continue
-		}
-		to := fewest()
-		c := b.Clone()
-		c.Holder, c.Tenure = to.Host, to.Tenure
-		count[to.Host]++
-		moves = append(moves, c)
-	}
+	loads := l.loads(live)
+	numbers := core.Keys(l.Mirror.Blocks)
+	moves := l.moveOrphaned(numbers, loads)
 	if len(moves) == 0 && now.Sub(l.isolationAt) >= isolationPause {
 		l.isolationAt = now
 		moves = l.moveFromIsolated(numbers, live, now)
 	}
 	if len(moves) == 0 {
-		to := fewest()
-		for _, n := range numbers {
-			b := l.Mirror.Blocks[n].Record
-			// A block that is still looking for its machines is left alone: moved on
-			// in the midst of that, it began anew, and its workers' leases ran out.
-			if count[b.Holder] >= count[to.Host]+2 && now.Sub(l.stable[to.Host]) > rebalance && l.Settled(n) {
-				c := b.Clone()
-				c.Holder, c.Tenure = to.Host, to.Tenure
-				moves = append(moves, c)
-				break
-			}
-		}
+		moves = l.moveForBalance(numbers, loads, now)
 	}
 	if len(moves) == 0 {
 		return
@@ -171,6 +44,86 @@
 	}
 }
 
+// noteStable follows since when each controller has been a member.
+func (l *Leader) noteStable(live []state.Member, now core.Time) {
+	for _, m := range live {
+		if _, ok := l.stable[m.Host]; !ok {
+			l.stable[m.Host] = now
+		}
+	}
+	for host := range l.stable {
+		if _, ok := l.Mirror.Members[host]; !ok {
+			delete(l.stable, host)
+		}
+	}
+}
+
+// holderLoads counts the blocks of each controller that may get one.
+type holderLoads struct {
+	candidates []state.Member
+	blocks     map[core.Host]int
+}
+
+func (l *Leader) loads(candidates []state.Member) *holderLoads {
+	loads := &holderLoads{candidates, map[core.Host]int{}}
+	for _, b := range l.Mirror.Blocks {
+		if l.holds(b.Record) {
+			loads.blocks[b.Record.Holder]++
+		}
+	}
+	return loads
+}
+
+// fewest is the controller with the fewest blocks.
+func (h *holderLoads) fewest() state.Member {
+	best := h.candidates[0]
+	for _, m := range h.candidates {
+		if h.blocks[m.Host] < h.blocks[best.Host] {
+			best = m
+		}
+	}
+	return best
+}
+
+// movedTo is a block's record with another holder.
+func movedTo(b *state.Block, to state.Member) *state.Block {
+	c := b.Clone()
+	c.Holder, c.Tenure = to.Host, to.Tenure
+	return c
+}
+
+// moveOrphaned moves the blocks whose holders have no tenure any more, as many as one
+// transaction can.
+func (l *Leader) moveOrphaned(numbers []int, loads *holderLoads) (moves []*state.Block) {
+	for _, n := range numbers {
+		b := l.Mirror.Blocks[n].Record
+		if l.holds(b) || len(moves) >= l.Config.StateLim.TxnOps-2 {
+			continue
+		}
+		to := loads.fewest()
+		loads.blocks[to.Host]++
+		moves = append(moves, movedTo(b, to))
+	}
+	return moves
+}
+
+// moveForBalance moves one block to a controller that has two fewer than its holder.
+func (l *Leader) moveForBalance(numbers []int, loads *holderLoads, now core.Time) []*state.Block {
+	to := loads.fewest()
+	if now.Sub(l.stable[to.Host]) <= rebalance {
+		return nil
+	}
+	for _, n := range numbers {
+		b := l.Mirror.Blocks[n].Record
+		// A block that is still looking for its machines is left alone: moved on
+		// in the midst of that, it began anew, and its workers' leases ran out.
+		if loads.blocks[b.Holder] >= loads.blocks[to.Host]+2 && l.Settled(n) {
+			return []*state.Block{movedTo(b, to)}
+		}
+	}
+	return nil
+}
+
 // isolation is how long a controller counts as not hearing machines. It is kept by
 // tenure: a restarted controller starts afresh.
 type isolation struct {
@@ -206,9 +159,7 @@
 			d.until = now.Add(d.last)
 			l.isolations[b.Tenure] = d
 			l.note("holder does not hear its machines", "block", n, "holder", b.Holder, "heard_by", host)
-			c := b.Clone()
-			c.Holder, c.Tenure = m.Host, m.Tenure
-			return []*state.Block{c}
+			return []*state.Block{movedTo(b, m)}
 		}
 	}
 	return nil
