--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -43,19 +43,7 @@
 		return false
 	}
 	if season > m.season {
-		if m.fenced && m.season > 0 && m.state == live && now.Sub(m.answer) < h.Config.Workers.Lease/2 {
-			// Its lease ran out though we answered its reports.
-			h.setUnreachable(m, true)
-		}
-		// The worker has killed and forgotten everything of earlier seasons,
-		// and drops answers to reports of those.
-		for _, s := range m.list() {
-			if s.state != planned {
-				h.setOff(s, "worker's lease ran out")
-			}
-		}
-		m.images = map[string]bool{}
-		m.recent = nil
+		h.takeNewSeason(m)
 	}
 	m.season, m.tally, m.heard = season, tally, now
 	if !viaReport && (m.reported == 0 || now.Sub(m.reported) < h.quiet()) {
@@ -63,44 +51,8 @@
 		// cannot be told to start it, and was planned for again and again.
 		h.setUnreachable(m, false)
 	}
-	if rep.NoticeS != nil {
-		if m.notice == 0 {
-			h.Log.Info("the cloud takes a machine back", "machine", m.id, "in_s", *rep.NoticeS)
-			h.dirty = true
-		}
-		m.notice = now.Add(core.Seconds(max(*rep.NoticeS, 0))) + 1
-	}
-	seen := map[slotKey]bool{}
-	for _, v := range rep.Tasks {
-		id, err := core.ParseTask(v.Task)
-		if err != nil {
-			continue
-		}
-		k := slotKey{id, core.Attempt(v.Attempt)}
-		seen[k] = true
-		h.see(m, k, v)
-	}
-	for _, s := range m.list() {
-		if seen[s.slotKey] || s.state == planned {
-			continue
-		}
-		if s.state == starting {
-			// A start sent in an answer is settled by the next report, since a
-			// worker has one report in flight; a direct message says so only
-			// once the answer would have been dropped.
-			settled := viaReport && core.Newer(season, tally, s.sentSeason, s.sentTally) ||
-				asked > s.sentAt.Add(core.Stretch(answerDrop)+margin)
-			if !settled {
-				continue
-			}
-			if viaReport {
-				h.setUnreachable(m, true)
-			}
-			h.setOff(s, "start was not executed")
-			continue
-		}
-		h.setOff(s, "")
-	}
+	h.takeNotice(m, rep.NoticeS)
+	h.takeTasks(m, rep, viaReport, asked)
 	if core.Term(rep.Term) >= h.term && !m.fenced {
 		// It has seen our term: no command of an earlier holder counts any more.
 		m.fenced = true
@@ -117,6 +69,72 @@
 	return true
 }
 
+// takeNewSeason takes in that the worker has begun a new session: it has killed and
+// forgotten everything of earlier ones, and drops answers to reports of those.
+func (h *Holder) takeNewSeason(m *machine) {
+	answered := h.Loop.Now().Sub(m.answer) < h.Config.Workers.Lease/2
+	if m.fenced && m.season > 0 && m.state == live && answered {
+		// Its lease ran out though we answered its reports.
+		h.setUnreachable(m, true)
+	}
+	for _, s := range m.list() {
+		if s.state != planned {
+			h.setOff(s, "worker's lease ran out")
+		}
+	}
+	m.images = map[string]bool{}
+	m.recent = nil
+}
+
+// takeNotice takes in that the cloud takes the machine back in so many seconds (nil: no).
+func (h *Holder) takeNotice(m *machine, seconds *float64) {
+	if seconds == nil {
+		return
+	}
+	if m.notice == 0 {
+		h.Log.Info("the cloud takes a machine back", "machine", m.id, "in_s", *seconds)
+		h.dirty = true
+	}
+	m.notice = h.Loop.Now().Add(core.Seconds(max(*seconds, 0))) + 1
+}
+
+// takeTasks takes in the tasks of a report: what it shows, and what it proves to be off the
+// machine by not showing it.
+func (h *Holder) takeTasks(m *machine, rep *api.Report, viaReport bool, asked core.Time) {
+	shown := map[slotKey]bool{}
+	for _, view := range rep.Tasks {
+		id, err := core.ParseTask(view.Task)
+		if err != nil {
+			continue
+		}
+		key := slotKey{id, core.Attempt(view.Attempt)}
+		shown[key] = true
+		h.see(m, key, view)
+	}
+	for _, s := range m.list() {
+		switch {
+		case shown[s.slotKey] || s.state == planned:
+		case s.state != starting:
+			h.setOff(s, "")
+		case h.startSettled(s, rep, viaReport, asked):
+			if viaReport {
+				h.setUnreachable(m, true)
+			}
+			h.setOff(s, "start was not executed")
+		}
+	}
+}
+
+// startSettled tells whether a message that does not show a start proves that it was not
+// executed. A start sent in an answer is settled by the next report, since a worker has one
+// report in flight; a direct message says so only once the answer would have been dropped.
+func (h *Holder) startSettled(s *slot, rep *api.Report, viaReport bool, asked core.Time) bool {
+	if viaReport && core.Newer(core.Season(rep.Season), core.Tally(rep.Tally), s.sentSeason, s.sentTally) {
+		return true
+	}
+	return asked > s.sentAt.Add(core.Stretch(answerDrop)+margin)
+}
+
 // setUnreachable notes whether what we say reaches a machine. One that reports but does
 // not act on the answers gets no work until it has answered a command; else its
 // starts were lost again and again, each with a lease.
@@ -134,47 +152,23 @@
 }
 
 // see takes in one task of a report.
-func (h *Holder) see(m *machine, k slotKey, v api.TaskView) {
-	now := h.Loop.Now()
-	s := m.slots[k]
-	j := h.jobs[k.task.Job]
-	if j != nil && k.task.Index >= j.spec.Tasks {
+func (h *Holder) see(m *machine, key slotKey, view api.TaskView) {
+	j := h.jobs[key.task.Job]
+	if j != nil && key.task.Index >= j.spec.Tasks {
 		j = nil
 	}
+	s := m.slots[key]
 	if s == nil {
-		s = &slot{slotKey: k, machine: m, state: present, ends: now}
-		if e := h.Mirror.Jobs[k.task.Job]; e != nil {
-			s.team, s.need = e.Team, placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB}
-		}
-		if j != nil {
-			s.ends = now.Add(h.expected(s, m))
-		}
-		m.add(s)
-		if j != nil && v.State != api.TaskExited && !j.done.Has(k.task.Index) {
-			if other := j.slots[k.task.Index]; other == nil {
-				j.slots[k.task.Index] = s
-			} else if other.state == planned {
-				// It already runs here; the plan is dropped.
-				other.machine.drop(other)
-				h.moveSlot(other, off)
-				j.slots[k.task.Index] = s
-			}
-		}
-		h.dirty = true
+		s = h.discover(m, key, view, j)
 	}
 	if s.state == exited {
 		return
 	}
-	s.view = v.State
-	if j != nil && (v.State == api.TaskRunning || v.State == api.TaskGathering || v.State == api.TaskSaving) {
-		m.sawImage(j.spec.Image)
-		if s.since == 0 && v.State == api.TaskRunning {
-			h.Log.Debug("task runs", "task", k.task.String(), "attempt", k.attempt, "machine", m.id)
-			s.since = now
-			s.ends = now.Add(j.estimate())
-		}
+	s.view = view.State
+	if j != nil {
+		h.noteRun(s, j)
 	}
-	if v.State != api.TaskExited {
+	if view.State != api.TaskExited {
 		h.moveSlot(s, present)
 		if j != nil {
 			j.seen = true
@@ -182,24 +176,69 @@
 		return
 	}
 	h.moveSlot(s, exited)
-	s.cause = v.Cause
+	s.cause = view.Cause
 	h.dirty = true
-	if j == nil {
+	if j != nil {
+		h.takeExit(s, j, view)
+	}
+}
+
+// discover books an attempt that a report shows and nobody told us of.
+func (h *Holder) discover(m *machine, key slotKey, view api.TaskView, j *job) *slot {
+	now := h.Loop.Now()
+	s := &slot{slotKey: key, machine: m, state: present, ends: now}
+	if e := h.Mirror.Jobs[key.task.Job]; e != nil {
+		s.team, s.need = e.Team, placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB}
+	}
+	if j != nil {
+		s.ends = now.Add(h.expected(s, m))
+	}
+	m.add(s)
+	h.dirty = true
+	if j == nil || view.State == api.TaskExited || j.done.Has(key.task.Index) {
+		return s
+	}
+	switch other := j.slots[key.task.Index]; {
+	case other == nil:
+		j.slots[key.task.Index] = s
+	case other.state == planned:
+		// It already runs here; the plan is dropped.
+		other.machine.drop(other)
+		h.moveSlot(other, off)
+		j.slots[key.task.Index] = s
+	}
+	return s
+}
+
+// noteRun follows that an attempt has its image, and since when it runs.
+func (h *Holder) noteRun(s *slot, j *job) {
+	if s.view != api.TaskRunning && s.view != api.TaskGathering && s.view != api.TaskSaving {
 		return
 	}
-	if v.Cause == api.CauseDone {
-		m.fails = 0
-		h.acquit(j)
-		h.finish(j, k.task.Index)
-		if j.gang() {
-			// A gang completes together: if one task is done, all are.
-			for i := range j.spec.Tasks {
-				h.finish(j, i)
-			}
+	s.machine.sawImage(j.spec.Image)
+	if s.since == 0 && s.view == api.TaskRunning {
+		h.Log.Debug("task runs", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id)
+		s.since = h.Loop.Now()
+		s.ends = s.since.Add(j.estimate())
+	}
+}
+
+// takeExit takes in that an attempt has ended.
+func (h *Holder) takeExit(s *slot, j *job, view api.TaskView) {
+	if view.Cause != api.CauseDone {
+		h.Log.Info("task ended without completing", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "cause", view.Cause, "saved", view.Saved)
+		h.blame(s.machine, j, view.Cause)
+		h.unplace(s)
+		return
+	}
+	s.machine.fails = 0
+	h.acquit(j)
+	h.finish(j, s.task.Index)
+	if j.gang() {
+		// A gang completes together: if one task is done, all are.
+		for i := range j.spec.Tasks {
+			h.finish(j, i)
 		}
-	} else {
-		h.Log.Info("task ended without completing", "task", k.task.String(), "attempt", k.attempt, "machine", m.id, "cause", v.Cause, "saved", v.Saved)
-		h.blame(m, j, v.Cause)
 	}
 	h.unplace(s)
 }
