A pass in steps of one job each; a wait begins anew once a job's last task has left

Cause: the time without a task was followed only while tasks waited, so a job whose tasks had all started and then lost their machines counted as having waited since before. Test: TestWaitBeginsAnewOnceNothingRuns.

--- a/internal/block/candidates.go
+++ b/internal/block/candidates.go
@@ -1,7 +1,8 @@
 package block
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -63,79 +64,82 @@
 }
 
 // candidates lists the jobs with waiting tasks for the placement.
-func (h *Holder) candidates(now core.Time) []*placement.Job {
-	var all []*job
-	for _, j := range h.jobs {
-		all = append(all, j)
-	}
-	sort.Slice(all, func(a, b int) bool {
-		if all[a].at != all[b].at {
-			return all[a].at < all[b].at
-		}
-		return all[a].id < all[b].id
-	})
+func (h *Holder) candidates(now core.Time) (out []*placement.Job) {
 	guarantees := capacity.NewGuarantees(h.Config.Teams)
 	zones := h.zones()
 	wall := h.Loop.Wall()
-	var out []*placement.Job
-	for _, j := range all {
-		if j.blocked {
-			continue
-		}
+	for _, j := range h.readyJobs() {
 		guaranteed := guarantees.Within(j.spec.Team, j.need.CPUs*float64(j.spec.Tasks-j.done.Len()))
-		waiting := j.waiting()
-		if waiting <= 0 || j.broken || j.cancelled || j.holdoff > now {
-			if j.holdoff > now {
-				h.dirty = true
-			}
+		j.noteWait(now, time.Duration(wall-j.at)*time.Millisecond)
+		if j.holdoff > now {
+			h.dirty = true
 			continue
 		}
-		if j.gang() && len(j.slots) > 0 {
+		if j.waiting() <= 0 || j.broken || j.cancelled || j.gang() && len(j.slots) > 0 {
 			continue
 		}
-		described := placement.JobOf(j.id, j.at, j.spec)
-		p := &described
-		p.Rank = j.rank
-		p.Waiting, p.Zones, p.Avoid, p.Guaranteed = waiting, zones[j.id], map[core.MachineID]bool{}, guaranteed
-		if capacity.Late(h.Config.Aims, j.spec, j.sent, j.at, wall) {
-			p.Late = len(h.Config.Aims)
-		}
-		p.Timed = guaranteed || j.due > 0 || capacity.Timed(h.Config.Aims, j.spec)
-		j.noteWait(now, time.Duration(wall-j.at)*time.Millisecond)
-		p.Starvation = j.starvation(now)
-		if p.Starvation != placement.NotStarving && !j.gang() {
-			p.Waiting = 1
-		}
-		if j.probing() {
-			if !j.gang() {
-				p.Waiting = min(waiting, 1-j.live())
-			}
-			if p.Waiting <= 0 {
-				continue
-			}
-			p.Probe = true
+		candidate := h.candidate(j, now, wall, guaranteed)
+		candidate.Zones = zones[j.id]
+		if candidate.Waiting > 0 {
+			out = append(out, candidate)
 		}
-		if p.Overdue = capacity.Overdue(j.at, wall, j.begun()); p.Overdue {
-			// It begins before all else, whatever its rank, but with one task if it
-			// can: the rest waits as its rank says. Low ranks that came while others
-			// used everything had not begun after four minutes.
-			p.Rank = placement.TopRank
-			if !j.gang() {
-				p.Waiting = 1
-			}
+	}
+	return out
+}
+
+// readyJobs lists the jobs that wait for no other, the oldest first.
+func (h *Holder) readyJobs() (ready []*job) {
+	for _, j := range h.jobs {
+		if !j.blocked {
+			ready = append(ready, j)
 		}
-		p.Timing = placement.Timing{Due: capacity.Due(h.Config.Aims, j.spec, j.sent, j.at, j.due), Work: j.work()}
-		for id, until := range j.avoid {
-			if until > now {
-				p.Avoid[id] = true
-				h.dirty = true
-			} else {
-				delete(j.avoid, id)
-			}
+	}
+	slices.SortFunc(ready, func(a, b *job) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
+	return ready
+}
+
+// candidate describes a job with waiting tasks for the placement.
+func (h *Holder) candidate(j *job, now core.Time, wall core.Wall, guaranteed bool) *placement.Job {
+	p := placement.JobOf(j.id, j.at, j.spec)
+	p.Rank, p.Waiting, p.Guaranteed = j.rank, j.waiting(), guaranteed
+	p.Avoid = h.avoided(j, now)
+	if capacity.Late(h.Config.Aims, j.spec, j.sent, j.at, wall) {
+		p.Late = len(h.Config.Aims)
+	}
+	p.Timed = guaranteed || j.due > 0 || capacity.Timed(h.Config.Aims, j.spec)
+	p.Timing = placement.Timing{Due: capacity.Due(h.Config.Aims, j.spec, j.sent, j.at, j.due), Work: j.work()}
+	p.Starvation = j.starvation(now)
+	p.Probe = j.probing()
+	if p.Overdue = capacity.Overdue(j.at, wall, j.begun()); p.Overdue {
+		// It begins before all else, whatever its rank, but with one task if it
+		// can: the rest waits as its rank says. Low ranks that came while others
+		// used everything had not begun after four minutes.
+		p.Rank = placement.TopRank
+	}
+	if j.gang() {
+		return &p
+	}
+	if p.Starvation != placement.NotStarving || p.Overdue {
+		p.Waiting = 1
+	}
+	if p.Probe {
+		p.Waiting = min(p.Waiting, 1-j.live())
+	}
+	return &p
+}
+
+// avoided lists the machines on which a job must not be tried for now.
+func (h *Holder) avoided(j *job, now core.Time) map[core.MachineID]bool {
+	avoid := map[core.MachineID]bool{}
+	for id, until := range j.avoid {
+		if until <= now {
+			delete(j.avoid, id)
+			continue
 		}
-		out = append(out, p)
+		avoid[id] = true
+		h.dirty = true
 	}
-	return out
+	return avoid
 }
 
 // zones counts the tasks booked on machines, by job and zone, for the jobs to which
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -365,3 +365,43 @@
 		}
 	}
 }
+
+// A wait counts from when the last of a job's tasks left its machine, also if none of them
+// waited in between; and one that began before the holder had the block counts up to a bound.
+func TestWaitBeginsAnewOnceNothingRuns(t *testing.T) {
+	h, m := testHolder()
+	j := &job{id: "req-1", spec: &api.Job{Form: api.FormArray, Team: "red", Tasks: 1}, slots: map[int]*slot{}}
+	h.jobs["req-1"] = j
+	at := func(s int) placement.Starvation {
+		now := core.Time(s) * core.Time(time.Second)
+		for _, candidate := range h.candidates(now) {
+			return candidate.Starvation
+		}
+		return -1
+	}
+	if got := at(10); got != placement.NotStarving {
+		t.Fatalf("at once: %d", got)
+	}
+	j.slots[0] = &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 1}, machine: m, state: present}
+	if got := at(30); got != -1 {
+		t.Fatalf("nothing waits: %d", got)
+	}
+	delete(j.slots, 0)
+	if got := at(100); got != placement.NotStarving {
+		t.Errorf("the task has just left its machine: %d", got)
+	}
+	if got := at(150); got != placement.Starving {
+		t.Errorf("after 50 s: %d", got)
+	}
+	if got := at(171); got != placement.Starved {
+		t.Errorf("after 71 s: %d", got)
+	}
+	j.withoutTasks, j.inherited = false, true
+	j.at = -3_600_000 // it came an hour ago
+	if got := at(200); got != placement.Starving {
+		t.Errorf("with the block just granted: %d", got)
+	}
+	if got := at(211); got != placement.Starved {
+		t.Errorf("11 s later: %d", got)
+	}
+}
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lichenstair/api"
 	"lichenstair/internal/capacity"
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
@@ -49,55 +50,82 @@
 	types := h.Types()
 	jobs := h.candidates(now)
 	kept := h.keptNow(jobs, types)
+	h.noteRoom(types)
+	h.teams = h.teamsNow()
+	machines := h.machinesNow(now, kept)
+	h.deferArrays(jobs, machines, h.teams)
+	for _, j := range jobs {
+		j.NoChoice = capacity.NoChoice(j, types, kept)
+	}
+	result := placement.Pass(now, machines, jobs, h.teams, h.Policy)
+	h.preempt(now, jobs, machines, h.teams)
+	for _, start := range result.Starts {
+		h.plan(h.jobs[start.Job], h.machines[start.Machine])
+	}
+	if result.Reserved != "" {
+		h.Log.Debug("oldest waiting job holds a reservation", "job", result.Reserved, "in", result.ReservedAt.Sub(now).String())
+	}
+	h.requestUp()
+	h.flushReady()
+}
+
+// noteRoom takes in what the machines have, as far as their types are known.
+func (h *Holder) noteRoom(types map[string]api.MachineType) {
+	for _, m := range h.machines {
+		if t, ok := types[m.typ]; ok {
+			m.total = placement.Room(t)
+		}
+	}
+}
+
+// teamsNow tells what each team uses and may use. What may still be on a machine counts,
+// whatever has become of its job.
+func (h *Holder) teamsNow() map[string]*placement.Team {
 	teams := map[string]*placement.Team{}
 	for _, t := range h.Mirror.Teams(h.Config.Teams) {
 		teams[t.Name] = &placement.Team{Max: placement.Need{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
-	var machines []*placement.Machine
 	for _, id := range core.Keys(h.machines) {
-		m := h.machines[id]
-		if t, ok := types[m.typ]; ok {
-			m.total = placement.Room(t)
-		}
-		for _, s := range m.list() {
-			if s.booked() && teams[s.team] != nil {
-				teams[s.team].Used = teams[s.team].Used.Plus(s.need)
+		for _, s := range h.machines[id].list() {
+			if team := teams[s.team]; team != nil && s.booked() {
+				team.Used = team.Used.Plus(s.need)
 			}
 		}
-		if !h.usable(m) {
-			continue
-		}
-		p := &placement.Machine{ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images, Unreliable: m.unreliable > now, Asked: m.asked, Tasks: len(m.slots), MaxTasks: placement.MaxTasks}
-		m.room.note(now, p.Free())
-		p.LastingRoom = m.room.least()
-		p.KeptFor, p.Kept = kept[capacity.Kind{Type: m.typ, Spot: m.spot}]
-		for _, s := range m.slots {
-			if s.booked() {
-				ends := h.ends(s, now)
-				p.Releases = append(p.Releases, placement.Release{At: ends, Need: s.need})
-				p.BusyFor = max(p.BusyFor, ends.Sub(now))
-				if j := h.jobs[s.task.Job]; j == nil || !j.gang() {
-					p.ByArrays = p.ByArrays.Plus(s.need)
-				}
-			}
-		}
-		machines = append(machines, p)
 	}
-	h.deferArrays(jobs, machines, teams)
-	for _, j := range jobs {
-		j.NoChoice = capacity.NoChoice(j, types, kept)
+	return teams
+}
+
+// machinesNow describes the machines on which something can be started.
+func (h *Holder) machinesNow(now core.Time, kept capacity.KeptKinds) (out []*placement.Machine) {
+	for _, id := range core.Keys(h.machines) {
+		if m := h.machines[id]; h.usable(m) {
+			out = append(out, h.describe(m, now, kept))
+		}
 	}
-	res := placement.Pass(now, machines, jobs, teams, h.Policy)
-	h.teams = teams
-	h.preempt(now, jobs, machines, teams)
-	for _, st := range res.Starts {
-		h.plan(h.jobs[st.Job], h.machines[st.Machine])
+	return out
+}
+
+// describe describes a machine for the placement.
+func (h *Holder) describe(m *machine, now core.Time, kept capacity.KeptKinds) *placement.Machine {
+	p := &placement.Machine{
+		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Total: m.total, Booked: m.booked(), Images: m.images,
+		Unreliable: m.unreliable > now, Asked: m.asked, Tasks: len(m.slots), MaxTasks: placement.MaxTasks,
 	}
-	if res.Reserved != "" {
-		h.Log.Debug("oldest waiting job holds a reservation", "job", res.Reserved, "in", res.ReservedAt.Sub(now).String())
+	m.room.note(now, p.Free())
+	p.LastingRoom = m.room.least()
+	p.KeptFor, p.Kept = kept[capacity.Kind{Type: m.typ, Spot: m.spot}]
+	for _, s := range m.slots {
+		if !s.booked() {
+			continue
+		}
+		ends := h.ends(s, now)
+		p.Releases = append(p.Releases, placement.Release{At: ends, Need: s.need})
+		p.BusyFor = max(p.BusyFor, ends.Sub(now))
+		if j := h.jobs[s.task.Job]; j == nil || !j.gang() {
+			p.ByArrays = p.ByArrays.Plus(s.need)
+		}
 	}
-	h.requestUp()
-	h.flushReady()
+	return p
 }
 
 // ends is when a task ends by estimate; one that overruns is given more time,
