--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -46,19 +46,7 @@
 			GangPeerS *float64 `toml:"gang_peer_s"`
 			CancelS   *float64 `toml:"cancel_s"`
 		} `toml:"workers"`
-		State struct {
-			RPS      *float64 `toml:"rps"`
-			WriteRPS *float64 `toml:"write_rps"`
-			ValueKB  *float64 `toml:"value_kb"`
-			TxnOps   *int     `toml:"txn_ops"`
-			// Next holds the limits that the service will have from some moment on.
-			Next struct {
-				RPS      *float64 `toml:"rps"`
-				WriteRPS *float64 `toml:"write_rps"`
-				ValueKB  *float64 `toml:"value_kb"`
-				TxnOps   *int     `toml:"txn_ops"`
-			} `toml:"next"`
-		} `toml:"state"`
+		State stateFile `toml:"state"`
 		Cloud struct {
 			RPS      *float64 `toml:"rps"`
 			ListLagS *float64 `toml:"list_lag_s"`
@@ -71,13 +59,29 @@
 	} `toml:"settings"`
 }
 
+// stateFile is the part of the platform's file about the state service.
+type stateFile struct {
+	stateLimitsFile
+	// Next holds the limits that the service will have from some moment on.
+	Next stateLimitsFile `toml:"next"`
+}
+
+type stateLimitsFile struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// parse reads the platform's file. Fields that are not known are ignored; those that are
+// wrong or missing are refused by name.
 func parse(raw []byte) (*Config, error) {
 	var f file
 	if err := toml.Unmarshal(raw, &f); err != nil {
-		var de *toml.DecodeError
-		if errors.As(err, &de) {
-			row, col := de.Position()
-			return nil, fmt.Errorf("line %d, column %d: %s: %v", row, col, joinKey(de.Key()), de)
+		var decodeError *toml.DecodeError
+		if errors.As(err, &decodeError) {
+			row, col := decodeError.Position()
+			return nil, fmt.Errorf("line %d, column %d: %s: %v", row, col, joinKey(decodeError.Key()), decodeError)
 		}
 		return nil, err
 	}
@@ -93,31 +97,13 @@
 			GangWait: k.seconds("settings.workers.gang_wait_s", s.Workers.GangWaitS), GangPeer: k.seconds("settings.workers.gang_peer_s", s.Workers.GangPeerS),
 			Cancel: k.seconds("settings.workers.cancel_s", s.Workers.CancelS),
 		},
-		StateLim: StateLimits{
-			RPS: k.positive("settings.state.rps", s.State.RPS), WriteRPS: k.positive("settings.state.write_rps", s.State.WriteRPS),
-			ValueBytes: int(k.positive("settings.state.value_kb", s.State.ValueKB) * 1024), TxnOps: k.whole("settings.state.txn_ops", s.State.TxnOps),
-		},
+		StateLim: s.State.limits(k),
 		CloudLim: CloudLimits{RPS: k.positive("settings.cloud.rps", s.Cloud.RPS), ListLag: k.seconds("settings.cloud.list_lag_s", s.Cloud.ListLagS)},
 		Limits: Limits{
 			CoreShare: k.positive("settings.limits.core_share", s.Limits.CoreShare), MemoryBytes: int64(k.positive("settings.limits.ram_mb", s.Limits.MemoryMB) * (1 << 20)),
 			Sockets: k.whole("settings.limits.fd_limit", s.Limits.Sockets),
 		},
 	}
-	// The service lowers its limits without notice, so the lower of both are kept from
-	// the start. What is not named stays as it is.
-	next, now := &s.State.Next, &c.StateLim
-	if next.RPS != nil {
-		now.RPS = min(now.RPS, k.positive("settings.state.next.rps", next.RPS))
-	}
-	if next.WriteRPS != nil {
-		now.WriteRPS = min(now.WriteRPS, k.positive("settings.state.next.write_rps", next.WriteRPS))
-	}
-	if next.ValueKB != nil {
-		now.ValueBytes = min(now.ValueBytes, int(k.positive("settings.state.next.value_kb", next.ValueKB)*1024))
-	}
-	if next.TxnOps != nil {
-		now.TxnOps = min(now.TxnOps, k.whole("settings.state.next.txn_ops", next.TxnOps))
-	}
 	if c.Workers.Cancel <= c.Workers.Lease {
 		k.fail("settings.workers.cancel_s", "must be longer than lease_s")
 	}
@@ -127,11 +113,43 @@
 	for i, p := range f.Seeds {
 		c.Peers = append(c.Peers, Peer{core.Host(k.text(fmt.Sprintf("seeds[%d].host_name", i), p.Host)), k.addr(fmt.Sprintf("seeds[%d].address", i), p.Addr)})
 	}
-	if len(s.Teams) == 0 {
+	c.Teams = f.teams(k)
+	for _, o := range s.Objectives {
+		c.Aims = append(c.Aims, Aim{o.Kind, o.Class, core.Seconds(o.WithinS), o.Share, o.Times})
+	}
+	return c, k.err
+}
+
+// limits are the lower of the present and the coming limits: the service lowers its own
+// without notice, so the lower ones are kept from the start. What is not named as coming
+// stays as it is.
+func (f *stateFile) limits(k *checker) StateLimits {
+	limits := StateLimits{
+		RPS: k.positive("settings.state.rps", f.RPS), WriteRPS: k.positive("settings.state.write_rps", f.WriteRPS),
+		ValueBytes: int(k.positive("settings.state.value_kb", f.ValueKB) * 1024), TxnOps: k.whole("settings.state.txn_ops", f.TxnOps),
+	}
+	if next := f.Next.RPS; next != nil {
+		limits.RPS = min(limits.RPS, k.positive("settings.state.next.rps", next))
+	}
+	if next := f.Next.WriteRPS; next != nil {
+		limits.WriteRPS = min(limits.WriteRPS, k.positive("settings.state.next.write_rps", next))
+	}
+	if next := f.Next.ValueKB; next != nil {
+		limits.ValueBytes = min(limits.ValueBytes, int(k.positive("settings.state.next.value_kb", next)*1024))
+	}
+	if next := f.Next.TxnOps; next != nil {
+		limits.TxnOps = min(limits.TxnOps, k.whole("settings.state.next.txn_ops", next))
+	}
+	return limits
+}
+
+// teams reads the teams; no name may stand twice.
+func (f *file) teams(k *checker) (teams []Team) {
+	if len(f.Settings.Teams) == 0 {
 		k.fail("settings.teams", "missing")
 	}
 	seen := map[string]bool{}
-	for i, t := range s.Teams {
+	for i, t := range f.Settings.Teams {
 		at := fmt.Sprintf("settings.teams[%d].", i)
 		team := Team{
 			Name: k.text(at+"name", t.Name), CPUs: k.atLeastZero(at+"cpus", need(k, at+"cpus", t.CPUs)), CPUsMax: k.atLeastZero(at+"cpus_max", need(k, at+"cpus_max", t.CPUsMax)),
@@ -149,12 +167,9 @@
 				team.GPUsMax = Unlimited
 			}
 		}
-		c.Teams = append(c.Teams, team)
-	}
-	for _, o := range s.Objectives {
-		c.Aims = append(c.Aims, Aim{o.Kind, o.Class, core.Seconds(o.WithinS), o.Share, o.Times})
+		teams = append(teams, team)
 	}
-	return c, k.err
+	return teams
 }
 
 func joinKey(key toml.Key) string {
