--- a/internal/leader/machines.go
+++ b/internal/leader/machines.go
@@ -10,14 +10,7 @@
 // and what the plan wants.
 func (l *Leader) machines(t *api.Txn) {
 	now := l.Loop.Now()
-	if wait := l.planAt.Add(planPause).Sub(now); l.planAt > 0 && wait > 0 {
-		if !l.planDue {
-			l.planDue = true
-			l.Loop.After(wait, func() {
-				l.planDue = false
-				l.act()
-			})
-		}
+	if !l.planIsDue(now) {
 		return
 	}
 	l.planAt = now
@@ -29,33 +22,69 @@
 	l.lookAtList(edit)
 	l.noteRented(edit)
 	plan := l.plan(edit, now, l.Loop.Wall())
-	under := map[int]bool{} // blocks whose machines are written
-	// Each block takes its new machines under a fresh term: higher than any that
-	// they have seen, so that they take commands, and seeing it they report at once.
-	fresh := map[int]core.Term{}
-	for _, n := range plan.Assign {
-		fresh[n] = 0
-	}
-	for k, n := range core.Keys(fresh) {
-		fresh[n] = l.Mirror.Term.Record.Last + 1 + core.Term(k)
-	}
-	allocated := false
-	for _, id := range core.Keys(plan.Assign) {
-		n := plan.Assign[id]
+	changed := map[int]bool{} // blocks whose machines are written
+	l.assign(t, edit, plan.Assign, changed)
+	l.askBack(edit, plan.Ask, changed)
+	l.markReturned(edit, plan.Return)
+	for _, n := range core.Keys(changed) {
+		l.underBlock(t, n)
+	}
+	edit.Apply(t)
+	l.returnMarked()
+	l.rent(plan.Rent)
+}
+
+// planIsDue tells whether it is time for the next plan, and sees to it that one is made
+// when it is.
+func (l *Leader) planIsDue(now core.Time) bool {
+	wait := l.planAt.Add(planPause).Sub(now)
+	if l.planAt == 0 || wait <= 0 {
+		return true
+	}
+	if !l.planDue {
+		l.planDue = true
+		l.Loop.After(wait, func() {
+			l.planDue = false
+			l.act()
+		})
+	}
+	return false
+}
+
+// assign moves machines of the pool to blocks. Each block takes its new machines under a
+// fresh term: higher than any that they have seen, so that they take commands, and seeing
+// it they report at once.
+func (l *Leader) assign(t *api.Txn, edit *state.Edit, blocks map[core.MachineID]int, changed map[int]bool) {
+	terms := map[int]core.Term{}
+	for _, n := range blocks {
+		terms[n] = 0
+	}
+	for i, n := range core.Keys(terms) {
+		terms[n] = l.Mirror.Term.Record.Last + 1 + core.Term(i)
+	}
+	moved := false
+	for _, id := range core.Keys(blocks) {
+		n := blocks[id]
 		m, ok := edit.Find(state.PoolInventory, id)
-		b := l.Mirror.Blocks[n].Record
-		if !ok || b == nil {
+		if !ok || l.Mirror.Blocks[n].Record == nil {
 			continue
 		}
-		m.Term = fresh[n]
+		m.Term = terms[n]
 		m.Seen, m.Up, m.Asked, m.Lost, m.Doomed = 0, false, false, false, false
 		if !edit.Move(state.PoolInventory, n, m) {
 			break // the rest goes with the next transaction
 		}
-		under[n], allocated = true, true
+		changed[n], moved = true, true
 		l.note("machine goes to a block", "machine", id, "type", m.Type, "block", n)
 	}
-	for _, id := range plan.Ask {
+	if moved {
+		l.allocateTerms(t, len(terms))
+	}
+}
+
+// askBack asks holders to let machines go once they are empty.
+func (l *Leader) askBack(edit *state.Edit, ids []core.MachineID, changed map[int]bool) {
+	for _, id := range ids {
 		n, ok := l.Mirror.MachineBlock(id)
 		if !ok {
 			continue
@@ -63,27 +92,25 @@
 		m, _ := edit.Find(n, id)
 		m.Asked = true
 		if edit.Set(n, m) {
-			under[n] = true
+			changed[n] = true
 			l.note("machine is asked back", "machine", id, "block", n)
 		}
 	}
-	for _, id := range plan.Return {
-		if m, ok := edit.Find(state.PoolInventory, id); ok && m.Fate == state.Free {
-			m.Fate = state.Returning
-			if edit.Set(state.PoolInventory, m) {
-				l.note("machine is returned", "machine", id, "type", m.Type)
-			}
+}
+
+// markReturned marks machines of the pool that are to go back to the cloud. They go once
+// the mark is durable.
+func (l *Leader) markReturned(edit *state.Edit, ids []core.MachineID) {
+	for _, id := range ids {
+		m, ok := edit.Find(state.PoolInventory, id)
+		if !ok || m.Fate != state.Free {
+			continue
+		}
+		m.Fate = state.Returning
+		if edit.Set(state.PoolInventory, m) {
+			l.note("machine is returned", "machine", id, "type", m.Type)
 		}
 	}
-	if allocated {
-		l.allocateTerms(t, len(fresh))
-	}
-	for _, n := range core.Keys(under) {
-		l.underBlock(t, n)
-	}
-	edit.Apply(t)
-	l.returnMarked()
-	l.rent(plan.Rent)
 }
 
 // noteGone writes down which returns the cloud has confirmed, and forgets
