Work within a guarantee gets ordinary machines, expected steps too; announced jobs are no arrivals

Tests: TestOrdinaryMachinesOnlyInScarcity, TestAnnouncedJobsAreNoArrivals, TestExpectedJobsTakeWhatTheGuaranteeLeaves.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -23,6 +23,8 @@
 	// is rented for, so that machines are up when it may run; none is given to its block
 	// before.
 	Expected bool
+	// Announced: it waited for others, so it was expected before it could run.
+	Announced bool
 }
 
 // Machine is a machine of a block or of the pool.
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -119,6 +119,15 @@
 	if p := Make(in); len(p.Rent) != 0 {
 		t.Fatalf("16 CPUs for 40 tasks, and %+v is rented", p.Rent)
 	}
+	// Within a guarantee it gets all that it needs, also ahead of time: the steps of
+	// pipelines waited for spot machines that nobody had left.
+	for _, expected := range []bool{false, true} {
+		j.Guaranteed, j.Expected = true, expected
+		if p := Make(in); len(p.Rent) != 1 || p.Rent[0].Spot || p.Rent[0].Count != 3 {
+			t.Fatalf("24 CPUs are missing within a guarantee, expected %v, and %+v is rented", expected, p.Rent)
+		}
+	}
+	j.Guaranteed, j.Expected = false, false
 	// Work for which nobody waits gets no ordinary machines however much of it there
 	// is, beyond a little where it has nothing at all. A borrowing team's 2,600 CPUs of it took
 	// 60 of them at three times the price (docs/incidents/inc-b616.md).
@@ -190,3 +199,20 @@
 		t.Fatalf("%d of 6 small machines go back", len(p.Return))
 	}
 }
+
+// Jobs that were announced, since they waited for others, are no sign of more that may come
+// unannounced: after the last arrival, each step of the last pipelines had spot machines
+// rented ahead for half of its size, while nothing else was left to run.
+func TestAnnouncedJobsAreNoArrivals(t *testing.T) {
+	for _, announced := range []bool{false, true} {
+		j := &Job{Remaining: 100, Announced: announced}
+		j.ID, j.Team, j.Tasks, j.Spot, j.Guaranteed, j.Need = "req-1", "red", 100, true, true, placement.Need{CPUs: 1, MemoryGB: 1}
+		var trend Trend
+		trend.Note(0, Level{})
+		trend.Arrivals(core.Time(time.Second), []*Job{j}, nil, types())
+		trend.Note(core.Time(time.Second), Level{})
+		if ahead := trend.Keep().Spot; (ahead > 0) == announced {
+			t.Errorf("announced %v: %v CPUs are kept ready", announced, ahead)
+		}
+	}
+}
--- a/internal/capacity/rent.go
+++ b/internal/capacity/rent.go
@@ -119,9 +119,10 @@
 // For work that may use spot machines they cost about three times as much, and
 // what waits for those mostly is done before one has booted: unless hardly
 // anything is there, they are rented only as far as CPUs have been missing for a
-// while to be in time.
+// while to be in time. Work within a guarantee gets what it needs: users count on it at
+// once, and steps of pipelines waited for spot machines that nobody had left.
 func (p *planner) worthwhile(j *Job) float64 {
-	if j.Gang || !j.Spot {
+	if j.Gang || !j.Spot || j.Guaranteed {
 		return math.Inf(1)
 	}
 	have := 0.0
--- a/internal/capacity/trend.go
+++ b/internal/capacity/trend.go
@@ -63,8 +63,8 @@
 	last := t.arrival
 	for _, j := range jobs {
 		seen[j.ID] = true
-		if t.seen[j.ID] {
-			continue
+		if t.seen[j.ID] || j.Announced {
+			continue // what was announced tells nothing of what may still arrive unannounced
 		}
 		if j.Gang && slices.ContainsFunc(Scarce(&j.Job, types), func(name string) bool { return kept.Has(Kind{name, false}) }) {
 			t.rate += float64(j.Tasks) / rateTime.Seconds()
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -14,87 +14,119 @@
 
 // plan asks the capacity package what should be where.
 func (l *Leader) plan(edit *state.Edit, now core.Time, wall core.Wall) capacity.Plan {
-	in := capacity.Input{Now: wall, Types: l.priced(), Kept: l.Kept(), TeamMax: map[string]float64{}, Closed: map[capacity.Offer]bool{}, Idle: l.Config.Operator.Idle}
-	for o, until := range l.closed {
-		if until > now {
-			in.Closed[o] = true
-		} else {
-			delete(l.closed, o)
-		}
-	}
+	in := capacity.Input{Now: wall, Types: l.priced(), Kept: l.Kept(), TeamMax: map[string]float64{}, Closed: l.closedOffers(now), Idle: l.Config.Operator.Idle}
 	for _, t := range l.Mirror.Teams(l.Config.Teams) {
 		in.TeamMax[t.Name] = t.CPUsMax
 	}
 	idle := l.Idle()
 	waiting := l.watchBoots(edit, now, wall, in.Types, idle)
+	doubtful, hopeless := l.judgeBoots(edit, now, &in, waiting)
+	in.Machines = append(l.pooledMachines(edit, now, doubtful), l.blockMachines(edit, idle, doubtful)...)
+	in.Jobs = l.unfinishedJobs(wall)
+	l.trend.Arrivals(now, slices.DeleteFunc(slices.Clone(in.Jobs), func(j *capacity.Job) bool { return j.Expected }), in.Kept, in.Types)
+	in.Keep = l.trend.Keep()
+	plan := capacity.Make(in)
+	for _, id := range hopeless {
+		l.note("machine has not come up; it is returned", "machine", id, "age", waiting[id].Age.String())
+	}
+	plan.Return = append(plan.Return, hopeless...)
+	l.trend.Note(now, plan.Want)
+	return plan
+}
+
+// closedOffers lists the kinds of machine that the cloud refused lately.
+func (l *Leader) closedOffers(now core.Time) map[capacity.Offer]bool {
+	closed := map[capacity.Offer]bool{}
+	for offer, until := range l.closed {
+		if until > now {
+			closed[offer] = true
+		} else {
+			delete(l.closed, offer)
+		}
+	}
+	return closed
+}
+
+// judgeBoots tells which machines should long have come up, and which of the pool never
+// will, and closes the offers of which too many are overdue.
+func (l *Leader) judgeBoots(edit *state.Edit, now core.Time, in *capacity.Input, waiting map[core.MachineID]capacity.Pending) (doubtful map[core.MachineID]bool, hopeless []core.MachineID) {
 	usual := func(typ string) time.Duration { return core.Seconds(in.Types[typ].BootS) }
-	doubtful := map[core.MachineID]bool{}
-	var hopeless []core.MachineID
+	doubtful = map[core.MachineID]bool{}
 	var pending []capacity.Pending
 	for _, id := range core.Keys(waiting) {
-		p := waiting[id]
-		pending = append(pending, p)
-		doubtful[id] = l.boots.Doubtful(now, p, usual(p.Type))
-		if _, pooled := edit.Find(state.PoolInventory, id); pooled && l.boots.Hopeless(now, p, usual(p.Type)) {
+		boot := waiting[id]
+		pending = append(pending, boot)
+		doubtful[id] = l.boots.Doubtful(now, boot, usual(boot.Type))
+		if _, pooled := edit.Find(state.PoolInventory, id); pooled && l.boots.Hopeless(now, boot, usual(boot.Type)) {
 			hopeless = append(hopeless, id)
 		}
 	}
-	for o := range l.boots.Troubled(now, pending, usual) {
-		in.Closed[o] = true
+	for offer := range l.boots.Troubled(now, pending, usual) {
+		in.Closed[offer] = true
 	}
-	inPool := map[core.MachineID]bool{}
-	spoken := map[core.MachineID]bool{}
+	return doubtful, hopeless
+}
+
+// pooledMachines describes the machines of the pool that can be assigned, and follows since
+// when they have been there.
+func (l *Leader) pooledMachines(edit *state.Edit, now core.Time, doubtful map[core.MachineID]bool) (out []*capacity.Machine) {
+	pooled := map[core.MachineID]bool{}
 	for _, m := range edit.All(state.PoolInventory) {
 		if m.Fate != state.Free {
-			spoken[m.ID] = true
 			continue
 		}
-		inPool[m.ID] = true
+		pooled[m.ID] = true
 		if l.free[m.ID] == 0 {
 			l.free[m.ID] = now
 		}
-		in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: capacity.NoBlock, Ready: l.ready(&m), Doubtful: doubtful[m.ID], Free: now.Sub(l.free[m.ID])})
+		machine := l.describe(&m, capacity.NoBlock, doubtful)
+		machine.Free = now.Sub(l.free[m.ID])
+		out = append(out, machine)
 	}
 	for id := range l.free {
-		if !inPool[id] {
+		if !pooled[id] {
 			delete(l.free, id)
 		}
 	}
+	return out
+}
+
+// blockMachines describes the machines of the blocks that can be counted on. One that is
+// on its way back to the cloud can still stand in its block.
+func (l *Leader) blockMachines(edit *state.Edit, idle, doubtful map[core.MachineID]bool) (out []*capacity.Machine) {
+	leaving := map[core.MachineID]bool{}
+	for _, m := range edit.All(state.PoolInventory) {
+		leaving[m.ID] = m.Fate != state.Free
+	}
 	for _, n := range core.Keys(l.Mirror.Blocks) {
 		for m := range l.Mirror.Inventory(n).All() {
-			if m.Lost || m.Doomed || spoken[m.ID] {
+			if m.Lost || m.Doomed || leaving[m.ID] {
 				continue
 			}
-			in.Machines = append(in.Machines, &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: n, Asked: m.Asked, Ready: l.ready(&m), Idle: idle[m.ID], Doubtful: doubtful[m.ID]})
+			machine := l.describe(&m, n, doubtful)
+			machine.Asked, machine.Idle = m.Asked, idle[m.ID]
+			out = append(out, machine)
 		}
 	}
+	return out
+}
+
+func (l *Leader) describe(m *state.Machine, block int, doubtful map[core.MachineID]bool) *capacity.Machine {
+	return &capacity.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Block: block, Ready: l.ready(m), Doubtful: doubtful[m.ID]}
+}
+
+// unfinishedJobs describes the jobs that may run, and those that are expected to before
+// long, the oldest first.
+func (l *Leader) unfinishedJobs(wall core.Wall) (jobs []*capacity.Job) {
 	failing, running := l.Failing(), l.Running()
-	var jobs []*capacity.Job
 	for id, e := range l.Mirror.Jobs {
 		if e.Over() || e.Spec == nil {
 			continue
 		}
-		n, ok := l.Mirror.TeamBlock(e.Team)
-		at, ready := l.Mirror.ReadyAt(e)
-		soon := !ready && l.Mirror.ReadySoon(e, func(id core.JobID) bool { return running[id] > 0 })
-		if !ok || !ready && !soon {
-			continue // nothing is kept or rented for what cannot start
-		}
-		if soon {
-			at = wall
-		}
-		j := &capacity.Job{Job: placement.JobOf(id, at, e.Spec), Block: n, Remaining: e.Tasks - e.Done.Len()}
-		j.Probe, j.Running, j.Expected = failing[id], running[id], soon
-		j.Overdue = capacity.Overdue(at, wall, j.Running > 0 || !e.Done.Empty())
-		j.Rank = max(j.Rank, e.Urgency.Rank)
-		j.Timed = e.Urgency.Due > 0 || capacity.Timed(l.Config.Aims, e.Spec)
-		if j.Running == 0 {
-			j.Starvation = capacity.StarvationAfter(time.Duration(wall-at) * time.Millisecond)
-		}
-		if due := capacity.Due(l.Config.Aims, e.Spec, e.At, at, e.Urgency.Due); len(due) > 0 {
-			j.Deadline = due[0]
+		if j := l.describeJob(id, e, wall, running); j != nil {
+			j.Probe = failing[id]
+			jobs = append(jobs, j)
 		}
-		jobs = append(jobs, j)
 	}
 	sort.Slice(jobs, func(a, b int) bool {
 		if jobs[a].At != jobs[b].At {
@@ -102,24 +134,51 @@
 		}
 		return jobs[a].ID < jobs[b].ID
 	})
+	l.markGuaranteed(jobs)
+	return jobs
+}
+
+// markGuaranteed marks the jobs that fit into their teams' guarantees: first those that may
+// run, then those that are expected to.
+func (l *Leader) markGuaranteed(jobs []*capacity.Job) {
 	guarantees := capacity.NewGuarantees(l.Config.Teams)
-	for _, j := range jobs {
-		if j.Expected {
-			continue
+	for _, expected := range []bool{false, true} {
+		for _, j := range jobs {
+			if j.Expected != expected {
+				continue
+			}
+			j.Guaranteed = guarantees.Within(j.Team, j.Need.CPUs*float64(j.Remaining))
+			j.Timed = j.Timed || j.Guaranteed
 		}
-		j.Guaranteed = guarantees.Within(j.Team, j.Need.CPUs*float64(j.Remaining))
-		j.Timed = j.Timed || j.Guaranteed
 	}
-	in.Jobs = jobs
-	l.trend.Arrivals(now, slices.DeleteFunc(slices.Clone(jobs), func(j *capacity.Job) bool { return j.Expected }), in.Kept, in.Types)
-	in.Keep = l.trend.Keep()
-	plan := capacity.Make(in)
-	for _, id := range hopeless {
-		l.note("machine has not come up; it is returned", "machine", id, "age", waiting[id].Age.String())
+}
+
+// describeJob describes an unfinished job, or nothing: no machine is kept or rented for what
+// cannot start.
+func (l *Leader) describeJob(id core.JobID, e *state.JobEntry, wall core.Wall, running map[core.JobID]int) *capacity.Job {
+	block, ok := l.Mirror.TeamBlock(e.Team)
+	at, ready := l.Mirror.ReadyAt(e)
+	expected := !ready && l.Mirror.ReadySoon(e, func(id core.JobID) bool { return running[id] > 0 })
+	if !ok || !ready && !expected {
+		return nil
 	}
-	plan.Return = append(plan.Return, hopeless...)
-	l.trend.Note(now, plan.Want)
-	return plan
+	if expected {
+		at = wall
+	}
+	j := &capacity.Job{
+		Job: placement.JobOf(id, at, e.Spec), Block: block, Remaining: e.Tasks - e.Done.Len(), Running: running[id],
+		Expected: expected, Announced: len(e.Spec.Dependencies) > 0,
+	}
+	j.Overdue = capacity.Overdue(at, wall, j.Running > 0 || !e.Done.Empty())
+	j.Rank = max(j.Rank, e.Urgency.Rank)
+	j.Timed = e.Urgency.Due > 0 || capacity.Timed(l.Config.Aims, e.Spec)
+	if j.Running == 0 {
+		j.Starvation = capacity.StarvationAfter(time.Duration(wall-at) * time.Millisecond)
+	}
+	if due := capacity.Due(l.Config.Aims, e.Spec, e.At, at, e.Urgency.Due); len(due) > 0 {
+		j.Deadline = due[0]
+	}
+	return j
 }
 
 // watchBoots follows which machines have not come up yet, and how long those took that
--- /dev/null
+++ b/internal/leader/plan_test.go
@@ -0,0 +1,26 @@
+package leader
+
+import (
+	"testing"
+
+	"lichenstair/internal/capacity"
+	"lichenstair/internal/config"
+	"lichenstair/internal/core"
+	"lichenstair/internal/placement"
+)
+
+// A job that is only expected takes no part of its team's guarantee from one that may run,
+// though it is older; what those leave is for it.
+func TestExpectedJobsTakeWhatTheGuaranteeLeaves(t *testing.T) {
+	l := &Leader{Env: Env{Config: &config.Config{Teams: []config.Team{{Name: "red", CPUs: 20}}}}}
+	job := func(id core.JobID, tasks int, expected bool) *capacity.Job {
+		return &capacity.Job{Job: placement.Job{ID: id, Team: "red", Need: placement.Need{CPUs: 1}}, Remaining: tasks, Expected: expected}
+	}
+	jobs := []*capacity.Job{job("req-1", 8, true), job("req-2", 10, false), job("req-3", 5, false), job("req-4", 2, true)}
+	l.markGuaranteed(jobs)
+	for i, want := range []bool{false, true, true, false} {
+		if jobs[i].Guaranteed != want || jobs[i].Timed != want {
+			t.Errorf("%s: within the guarantee %v, has a time %v, want %v", jobs[i].ID, jobs[i].Guaranteed, jobs[i].Timed, want)
+		}
+	}
+}
