--- a/internal/block/preempt.go
+++ b/internal/block/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,85 +41,122 @@
 // minutes, and those who came then were late. jobs are those that still wait after the
 // pass, in its order; machines show what is free after it.
 func (h *Holder) preempt(now core.Time, jobs []*placement.Job, machines []*placement.Machine, teams map[string]*placement.Team) {
-	low := placement.TopRank
-	for _, j := range h.jobs {
-		if !j.gang() && j.spec.CheckpointS > 0 && len(j.slots) > 0 {
-			low = min(low, j.rank)
-		}
-	}
-	if low == placement.TopRank {
+	lowest, ok := h.lowestThatSaves()
+	if !ok {
 		return
 	}
-	// What is free, or will be once those that are told to stop have gone.
-	room := map[core.MachineID]placement.Need{}
+	p := &preemption{h: h, now: now, machines: machines, room: map[core.MachineID]placement.Need{}}
 	for _, m := range machines {
-		free := m.Free()
-		for _, s := range h.machines[m.ID].slots {
-			if s.booked() && s.stop {
-				free = free.Plus(s.need)
-			}
-		}
-		room[m.ID] = free
+		p.room[m.ID] = p.freeSoon(m)
 	}
-	stops := 0
 	for _, j := range jobs {
 		n := h.wanted(j, teams[j.Team])
-		if n <= 0 || j.Probe || j.Rank <= low || stops >= maxStops {
+		if n <= 0 || j.Probe || j.Rank <= lowest || p.stops >= maxStops {
 			continue
 		}
-		type choice struct {
-			m    *placement.Machine
-			ends []*slot
+		p.makeRoom(j, n)
+	}
+}
+
+// lowestThatSaves is the lowest rank of an array that has tasks on machines and saves what
+// they have done; false if there is none below the top.
+func (h *Holder) lowestThatSaves() (rank int, ok bool) {
+	rank = placement.TopRank
+	for _, j := range h.jobs {
+		if !j.gang() && j.spec.CheckpointS > 0 && len(j.slots) > 0 {
+			rank = min(rank, j.rank)
 		}
-		var picks []choice
-		zones := map[string]int{}
-		for z, n := range j.Zones {
-			zones[z] = n
+	}
+	return rank, rank < placement.TopRank
+}
+
+// preemption is the choice of tasks to stop after one pass.
+type preemption struct {
+	h        *Holder
+	now      core.Time
+	machines []*placement.Machine
+	// room is what is free on each machine once those that are told to stop have gone.
+	room  map[core.MachineID]placement.Need
+	stops int
+}
+
+// eviction is what has to be stopped on a machine for one more task there.
+type eviction struct {
+	machine core.MachineID
+	stops   []*slot
+}
+
+// freeSoon is what is free on a machine, or will be once those that are told to stop have
+// gone.
+func (p *preemption) freeSoon(m *placement.Machine) placement.Need {
+	free := m.Free()
+	for _, s := range p.h.machines[m.ID].slots {
+		if s.booked() && s.stop {
+			free = free.Plus(s.need)
 		}
-		left := map[core.MachineID]placement.Need{}
-		for _, m := range machines {
-			if len(picks) >= n || m.Asked || m.Kept && !j.Gang && !j.NoChoice || j.Avoid[m.ID] || !j.Allows(m.Type, m.Zone, m.Spot) {
-				continue
-			}
-			free := room[m.ID]
-			var victims []*slot
-			for _, s := range h.machines[m.ID].list() {
-				if h.yields(s, j.Rank, now) {
-					victims = append(victims, s)
-				}
-			}
-			// The least is lost with those that have run least since they began.
-			slices.SortStableFunc(victims, func(a, b *slot) int { return cmp.Compare(b.since, a.since) })
-			for len(picks) < n && j.ZoneAllows(m.Zone, zones) {
-				var ends []*slot
-				have := free
-				for !j.Need.Fits(have) && len(victims) > len(ends) {
-					have = have.Plus(victims[len(ends)].need)
-					ends = append(ends, victims[len(ends)])
-				}
-				if !j.Need.Fits(have) {
-					break
-				}
-				victims, free = victims[len(ends):], have.Minus(j.Need)
-				zones[m.Zone]++
-				picks = append(picks, choice{m, ends})
-				left[m.ID] = free
-			}
+	}
+	return free
+}
+
+// makeRoom stops what it takes to start n tasks of a job; for a gang all or nothing.
+func (p *preemption) makeRoom(j *placement.Job, n int) {
+	zones := maps.Clone(j.Zones)
+	if zones == nil {
+		zones = map[string]int{}
+	}
+	var evictions []eviction
+	left := map[core.MachineID]placement.Need{}
+	for _, m := range p.machines {
+		if len(evictions) >= n {
+			break
 		}
-		if j.Gang && len(picks) < n {
+		if m.Asked || m.Kept && !j.Gang && !j.NoChoice || j.Avoid[m.ID] || !j.Allows(m.Type, m.Zone, m.Spot) {
 			continue
 		}
-		for id, free := range left {
-			room[id] = free
+		found, free := p.evictions(j, m, zones, n-len(evictions))
+		if len(found) > 0 {
+			evictions, left[m.ID] = append(evictions, found...), free
+		}
+	}
+	if j.Gang && len(evictions) < n {
+		return
+	}
+	maps.Copy(p.room, left)
+	for _, e := range evictions {
+		for _, s := range e.stops {
+			p.h.Log.Info("task is stopped for work of a higher rank", "task", s.task.String(), "attempt", s.attempt, "machine", e.machine, "for", j.ID)
+			p.h.end(s)
+			p.stops++
+		}
+	}
+}
+
+// evictions finds what has to be stopped on a machine for up to n tasks of a job, and what
+// is free there afterwards. It counts the tasks in their zones.
+func (p *preemption) evictions(j *placement.Job, m *placement.Machine, zones map[string]int, n int) (found []eviction, free placement.Need) {
+	free = p.room[m.ID]
+	var victims []*slot
+	for _, s := range p.h.machines[m.ID].list() {
+		if p.h.yields(s, j.Rank, p.now) {
+			victims = append(victims, s)
+		}
+	}
+	// The least is lost with those that have run least since they began.
+	slices.SortStableFunc(victims, func(a, b *slot) int { return cmp.Compare(b.since, a.since) })
+	for len(found) < n && j.ZoneAllows(m.Zone, zones) {
+		stops, have := 0, free
+		for !j.Need.Fits(have) && stops < len(victims) {
+			have = have.Plus(victims[stops].need)
+			stops++
 		}
-		for _, c := range picks {
-			for _, s := range c.ends {
-				h.Log.Info("task is stopped for work of a higher rank", "task", s.task.String(), "attempt", s.attempt, "machine", c.m.ID, "for", j.ID)
-				h.end(s)
-				stops++
-			}
+		if !j.Need.Fits(have) {
+			break
 		}
+		found = append(found, eviction{m.ID, victims[:stops]})
+		victims, free = victims[stops:], have.Minus(j.Need)
+		zones[m.Zone]++
 	}
+	return found, free
 }
 
 // wanted is how many tasks of a job should run beside those that do: all of work
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -4,6 +4,7 @@
 package capacity
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -111,44 +112,70 @@
 // Make makes a plan: the unfinished jobs, oldest first, claim room on the
 // machines; what is left over or missing decides.
 func Make(in Input) Plan {
-	p := &planner{in: in, plan: Plan{Assign: map[core.MachineID]int{}}, team: map[string]float64{}}
+	p := &planner{in: in, plan: Plan{Assign: map[core.MachineID]int{}}, team: map[string]float64{}, rooms: roomsOf(in)}
+	expected := only(inOrder(in.Jobs), func(j *Job) bool { return j.Expected })
+	ready := only(inOrder(in.Jobs), func(j *Job) bool { return !j.Expected })
+	open := p.shareAll(ready)
+	p.plan.Want.Short = p.missing(only(in.Jobs, func(j *Job) bool { return !j.Expected }))
+	for _, u := range open {
+		// Nothing is rented for a job that fails wherever it runs.
+		if u.n > 0 && !u.j.Probe {
+			p.rent(u.j, u.n)
+		}
+	}
+	p.expect(expected)
+	p.move()
+	p.giveBack()
+	return p.plan
+}
+
+// roomsOf lists the machines that can be claimed, the smallest first; of those that are
+// alike, the ones that are up. One that still boots must not be given to a gang while one
+// that is up stands idle.
+func roomsOf(in Input) (rooms []*room) {
 	for _, m := range in.Machines {
 		t, ok := in.Types[m.Type]
 		if !ok || m.Doubtful {
 			continue
 		}
-		p.rooms = append(p.rooms, &room{m: m, free: placement.Room(t), block: m.Block, kept: in.Kept.Has(Kind{m.Type, m.Spot})})
+		rooms = append(rooms, &room{m: m, free: placement.Room(t), block: m.Block, kept: in.Kept.Has(Kind{m.Type, m.Spot})})
 	}
-	sort.SliceStable(p.rooms, func(a, b int) bool {
-		x, y := p.rooms[a], p.rooms[b]
+	sort.SliceStable(rooms, func(a, b int) bool {
+		x, y := rooms[a], rooms[b]
 		if x.free.CPUs != y.free.CPUs {
 			return x.free.CPUs < y.free.CPUs
 		}
-		// One that still boots must not be given to a gang while one that is
-		// up stands idle.
 		return x.m.Ready && !y.m.Ready
 	})
-	jobs := append([]*Job{}, in.Jobs...)
+	return rooms
+}
+
+// inOrder sorts jobs in the order in which they claim: gangs first, then by rank, those with
+// a time, and age.
+func inOrder(in []*Job) []*Job {
+	jobs := slices.Clone(in)
 	sort.SliceStable(jobs, func(a, b int) bool {
 		x, y := jobs[a], jobs[b]
-		if x.Gang != y.Gang {
+		switch {
+		case x.Gang != y.Gang:
 			return x.Gang
-		}
-		if x.Rank != y.Rank {
+		case x.Rank != y.Rank:
 			return x.Rank > y.Rank
-		}
-		if x.Timed != y.Timed {
+		case x.Timed != y.Timed:
 			return x.Timed
-		}
-		if x.At != y.At {
+		case x.At != y.At:
 			return x.At < y.At
 		}
 		return x.ID < y.ID
 	})
-	// Idle-time work has what is left over, also in its own block: what it used there
-	// was no room for others, and they waited until it ended by itself.
-	soon := only(jobs, func(j *Job) bool { return j.Expected })
-	jobs = only(jobs, func(j *Job) bool { return !j.Expected })
+	return jobs
+}
+
+// shareAll lets the jobs that may run claim room, and lists what found none: what has not
+// begun for too long, gangs, arrays by rank, and idle-time work. That has what is left over,
+// also in its own block: what it used there was no room for others, and they waited until it
+// ended by itself.
+func (p *planner) shareAll(jobs []*Job) []unmet {
 	begin := first(jobs)
 	jobs = alike(jobs)
 	open := p.share(begin)
@@ -157,15 +184,11 @@
 		p.hold(only(jobs, func(j *Job) bool { return j.Idle() && !j.Gang && j.Rank == rank }))
 		open = append(open, p.share(only(jobs, func(j *Job) bool { return !j.Idle() && !j.Gang && j.Rank == rank }))...)
 	}
-	open = append(open, p.share(only(jobs, func(j *Job) bool { return j.Idle() }))...)
-	p.plan.Want.Short = p.missing(only(in.Jobs, func(j *Job) bool { return !j.Expected }))
-	for _, u := range open {
-		// Nothing is rented for a job that fails wherever it runs.
-		if u.n > 0 && !u.j.Probe {
-			p.rent(u.j, u.n)
-		}
-	}
-	p.expect(soon)
+	return append(open, p.share(only(jobs, func(j *Job) bool { return j.Idle() }))...)
+}
+
+// move assigns claimed machines of the pool, and asks those back that another block claims.
+func (p *planner) move() {
 	for _, r := range p.rooms {
 		switch {
 		case r.m.Block == NoBlock && r.used && r.block != NoBlock:
@@ -174,6 +197,4 @@
 			p.plan.Ask = append(p.plan.Ask, r.m.ID)
 		}
 	}
-	p.giveBack()
-	return p.plan
 }
