--- a/internal/capacity/rent.go
+++ b/internal/capacity/rent.go
@@ -194,75 +194,106 @@
 	return cpus
 }
 
-// rent adds the cheapest machines that take n tasks of a job, and claims them.
-func (p *planner) rent(j *Job, n int) {
-	type choice struct {
-		o    Offer
-		fit  int
-		cost float64
+// choice is a kind of machine that could be rented for a job.
+type choice struct {
+	offer Offer
+	fit   int     // tasks that a machine takes
+	cost  float64 // of a task, an hour
+}
+
+// better tells whether a choice is cheaper than another; of equal ones the first by name is.
+func (c choice) better(than choice) bool {
+	const same = 1e-9
+	if c.cost < than.cost-same {
+		return true
 	}
-	var best *choice
+	return c.cost < than.cost+same && c.offer.Type+c.offer.Zone < than.offer.Type+than.offer.Zone
+}
+
+// rent adds the cheapest machines that take n tasks of a job, and claims them. What has to
+// be spread goes to as many zones as it takes.
+func (p *planner) rent(j *Job, n int) {
 	ordinary := p.worthwhile(j)
+	best, ok := p.cheapest(j, n, ordinary)
+	if !ok {
+		return
+	}
+	t := p.in.Types[best.offer.Type]
+	count := min((n+best.fit-1)/best.fit, maxRental)
+	if !best.offer.Spot && !j.Gang && j.Spot {
+		count = int(min(float64(count), ordinary/t.CPUs))
+		p.ordinary += float64(count) * t.CPUs
+	}
+	if j.Scatter {
+		count = min(count, (j.Tasks+1)/2)
+	}
+	for i := range count {
+		p.rooms = append(p.rooms, &room{
+			m:    &Machine{ID: core.MachineID("rented" + string(rune('0'+i))), Type: best.offer.Type, Zone: best.offer.Zone, Spot: best.offer.Spot, Block: j.Block},
+			free: placement.Room(t), block: j.Block, kept: p.in.Kept.Has(Kind{best.offer.Type, best.offer.Spot}),
+		})
+	}
+	p.addRental(Rental{best.offer, j.Block, count})
+	left := n - p.claim(j, n, func(r *room) bool { return r.block == j.Block })
+	if j.Scatter && left > 0 && left < n {
+		p.rent(j, left) // the rest has to go to another zone
+	}
+}
+
+// maxRental bounds the machines of one rental: more can follow with the next plan, when it
+// is known what the cloud has.
+const maxRental = 10
+
+// cheapest finds the kind of machine that takes up to n tasks of a job at the least cost;
+// ordinary is how many CPUs of ordinary machines may be rented for it.
+func (p *planner) cheapest(j *Job, n int, ordinary float64) (best choice, found bool) {
 	for _, name := range core.Keys(p.in.Types) {
 		t := p.in.Types[name]
-		total := placement.Room(t)
-		fit := 0
-		for left := total; fit < min(n, placement.MaxTasks) && j.Need.Fits(left); fit++ {
-			left = left.Minus(j.Need)
-		}
+		fit := fitting(j.Need, placement.Room(t), min(n, placement.MaxTasks))
 		if fit == 0 {
 			continue
 		}
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				o := Offer{name, zone, spot}
-				if p.in.Closed[o] || p.keeps(j, name, spot) || !j.Allows(name, zone, spot) || !j.ZoneAllows(zone, j.Zones) {
-					continue
-				}
-				if !spot && ordinary < t.CPUs {
+				offer := Offer{name, zone, spot}
+				if !spot && ordinary < t.CPUs || !p.rentable(j, offer) {
 					continue
 				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
 				}
-				c := choice{o, fit, price / float64(fit)}
-				if best == nil || c.cost < best.cost-1e-9 || c.cost < best.cost+1e-9 && (c.o.Type+c.o.Zone < best.o.Type+best.o.Zone) {
-					best = &c
+				c := choice{offer, fit, price / float64(fit)}
+				if !found || c.better(best) {
+					best, found = c, true
 				}
 			}
 		}
 	}
-	if best == nil {
-		return
-	}
-	t := p.in.Types[best.o.Type]
-	count := min((n+best.fit-1)/best.fit, 10)
-	if !best.o.Spot && !j.Gang && j.Spot {
-		count = int(min(float64(count), ordinary/t.CPUs))
-		p.ordinary += float64(count) * t.CPUs
-	}
-	if j.Scatter {
-		count = min(count, (j.Tasks+1)/2)
-	}
-	for i := range count {
-		r := &room{
-			m:    &Machine{ID: core.MachineID("rented" + string(rune('0'+i))), Type: best.o.Type, Zone: best.o.Zone, Spot: best.o.Spot, Block: j.Block},
-			free: placement.Room(t), block: j.Block, kept: p.in.Kept.Has(Kind{best.o.Type, best.o.Spot}),
-		}
-		p.rooms = append(p.rooms, r)
+	return best, found
+}
+
+// fitting is how many tasks of a need a room takes, most at the most.
+func fitting(need, room placement.Need, most int) (n int) {
+	for n < most && need.Fits(room) {
+		room = room.Minus(need)
+		n++
 	}
-	left := n - p.claim(j, n, func(r *room) bool { return r.block == j.Block })
-	defer func() {
-		if j.Scatter && left > 0 && left < n {
-			p.rent(j, left) // the rest has to go to another zone
-		}
-	}()
-	for i := range p.plan.Rent {
-		if p.plan.Rent[i].Offer == best.o && p.plan.Rent[i].Block == j.Block {
-			p.plan.Rent[i].Count += count
+	return n
+}
+
+// rentable tells whether machines of a kind can be had and suit a job.
+func (p *planner) rentable(j *Job, o Offer) bool {
+	return !p.in.Closed[o] && !p.keeps(j, o.Type, o.Spot) && j.Allows(o.Type, o.Zone, o.Spot) && j.ZoneAllows(o.Zone, j.Zones)
+}
+
+// addRental adds machines to a rental of the same kind for the same block, if there is one.
+func (p *planner) addRental(rental Rental) {
+	for i, r := range p.plan.Rent {
+		if r.Offer == rental.Offer && r.Block == rental.Block {
+			p.plan.Rent[i].Count += rental.Count
 			return
 		}
 	}
-	p.plan.Rent = append(p.plan.Rent, Rental{best.o, j.Block, count})
+	p.plan.Rent = append(p.plan.Rent, rental)
 }
