--- a/internal/leader/cloud.go
+++ b/internal/leader/cloud.go
@@ -76,7 +76,7 @@
 	if l.rentals > 0 || len(l.rented) > 0 || l.types == nil || !l.Sure() {
 		return
 	}
-	for _, r := range rentals {
+	for _, r := range byOffer(rentals) {
 		if l.rentals >= 3 {
 			return
 		}
@@ -87,6 +87,22 @@
 	}
 }
 
+// byOffer puts rentals of the same kind for several blocks into one, in their order: what is
+// rented comes to the pool first, and the cloud takes few requests a second. In a burst each
+// block's machines waited for the requests of those before.
+func byOffer(rentals []capacity.Rental) (out []capacity.Rental) {
+	place := map[capacity.Offer]int{}
+	for _, r := range rentals {
+		if i, ok := place[r.Offer]; ok {
+			out[i].Count += r.Count
+			continue
+		}
+		place[r.Offer] = len(out)
+		out = append(out, capacity.Rental{Offer: r.Offer, Block: capacity.NoBlock, Count: r.Count})
+	}
+	return out
+}
+
 func (l *Leader) send(req api.Rental, r capacity.Rental, tries int) {
 	if tries == 0 {
 		l.rentals++
--- a/internal/leader/plan_test.go
+++ b/internal/leader/plan_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"testing"
 
 	"lichenstair/internal/capacity"
@@ -24,3 +25,13 @@
 		}
 	}
 }
+
+// Machines of one kind for several blocks are asked for in one request.
+func TestRentalsOfOneKindAreOneRequest(t *testing.T) {
+	small, large := capacity.Offer{Type: "small", Zone: "a"}, capacity.Offer{Type: "large", Zone: "a"}
+	got := byOffer([]capacity.Rental{{Offer: large, Block: 1, Count: 2}, {Offer: small, Block: 1, Count: 4}, {Offer: large, Block: 0, Count: 1}, {Offer: large, Block: capacity.NoBlock, Count: 3}})
+	want := []capacity.Rental{{Offer: large, Block: capacity.NoBlock, Count: 6}, {Offer: small, Block: capacity.NoBlock, Count: 4}}
+	if !slices.Equal(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
