Machines stay until the first pass has told what teams may use

Seen in reading: a holder that had just found its machines could release idle ones before its first pass, since no team's use was known. Test: TestMachineIsNotHeldForATeamAtItsLimit.

--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -353,6 +353,10 @@
 	h.Config.Operator.Idle = 20 * time.Second
 	m.total, m.idle = placement.Need{CPUs: 8, MemoryGB: 8}, 1
 	now := core.Time(5 * time.Second)
+	h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Form: api.FormArray, Team: "red", Tasks: 3, CPUs: 1, MemoryGB: 1}, need: placement.Need{CPUs: 1, MemoryGB: 1}, slots: map[int]*slot{}}
+	if h.releasable(m, now) {
+		t.Error("released before the first pass, though a job waits")
+	}
 	for _, tc := range []struct {
 		form     string
 		used     float64
--- a/internal/block/write.go
+++ b/internal/block/write.go
@@ -135,8 +135,12 @@
 }
 
 // underLimit tells whether the limit of a job's team leaves room for what would start of it.
-// Machines stood idle in a block for the sake of a job whose team was at its limit.
+// Machines stood idle in a block for the sake of a job whose team was at its limit. Before
+// the first pass it is not known, and machines stay.
 func (h *Holder) underLimit(j *job) bool {
+	if h.teams == nil {
+		return true
+	}
 	tasks := 1
 	if j.gang() {
 		tasks = j.spec.Tasks
