--- a/internal/sim/combined_faults_test.go
+++ b/internal/sim/combined_faults_test.go
@@ -296,17 +296,7 @@
 				if calm == 0 {
 					calm = 240 * time.Second
 				}
-				w.At(calm, func() {
-					w.Users.CloseLooks, w.CancelAtEnd = false, 0
-					w.Check.Calm(w.Now())
-					w.watchRoom()
-				})
-				w.Run(calm + 250*time.Second)
-				w.Check.End()
-				w.Check.Served()
-				if len(w.Check.Broken) > 0 {
-					t.Fatalf("seed %d: %v", seed, w.Check.Broken)
-				}
+				playOut(t, w, seed, calm)
 				if w.Users.Done == 0 {
 					t.Fatalf("seed %d: nothing was done", seed)
 				}
--- a/internal/sim/pipeline_test.go
+++ b/internal/sim/pipeline_test.go
@@ -40,16 +40,7 @@
 				w.At(at, func() { Faults[name](w) })
 			}
 			calm := 220*time.Second + longestFault
-			w.At(calm, func() {
-				w.Check.Calm(w.Now())
-				w.watchRoom()
-			})
-			w.Run(calm + 250*time.Second)
-			w.Check.End()
-			w.Check.Served()
-			if len(w.Check.Broken) > 0 {
-				t.Fatalf("seed %d: %v", seed, w.Check.Broken)
-			}
+			playOut(t, w, seed, calm)
 			done, withdrawn := 0, 0
 			for _, j := range w.Check.jobs {
 				switch {
@@ -315,16 +306,7 @@
 			for i, name := range []string{"late writes", "crash all", "leader refused, then everybody", "quick restart"} {
 				at(w, 110+20*float64(i), func() { Faults[name](w) })
 			}
-			w.At(330*time.Second, func() {
-				w.Check.Calm(w.Now())
-				w.watchRoom()
-			})
-			w.Run(580 * time.Second)
-			w.Check.End()
-			w.Check.Served()
-			if len(w.Check.Broken) > 0 {
-				t.Fatalf("seed %d: %v", seed, w.Check.Broken)
-			}
+			playOut(t, w, seed, 330*time.Second)
 			if largest <= cfg.StateLim.ValueBytes {
 				t.Fatalf("seed %d: the version before left no record of more than %d bytes", seed, largest)
 			}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -61,6 +61,23 @@
 	return w
 }
 
+// playOut plays the rest of a day whose troubles are over at calm, and fails the test if a
+// rule was broken, somebody was not served, or a job waited beside free capacity.
+func playOut(t *testing.T, w *World, seed uint64, calm Clock) {
+	t.Helper()
+	w.At(calm, func() {
+		w.Users.CloseLooks, w.CancelAtEnd = false, 0
+		w.Check.Calm(w.Now())
+		w.watchRoom()
+	})
+	w.Run(calm + 250*time.Second)
+	w.Check.End()
+	w.Check.Served()
+	if len(w.Check.Broken) > 0 {
+		t.Fatalf("seed %d: %v", seed, w.Check.Broken)
+	}
+}
+
 // longestFault is how long a trouble can last.
 const longestFault = 160 * time.Second
 
