--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -33,6 +33,7 @@
 	hopeless bool // fails wherever it runs
 	accepted bool
 	final    string
+	asking   bool // again, soon
 	began    Clock
 	told     Clock // when it was accepted
 	over     Clock // when its user learnt that it was over
@@ -228,7 +229,20 @@
 	})
 }
 
+// poll asks about a job, and again and again from then on.
 func (u *Users) poll(j *userJob) {
+	u.ask(j)
+	wait := u.w.between(4, 6) / max(u.Often, 1)
+	if j.final != "" {
+		wait = u.w.between(20, 60)
+	}
+	u.w.In(time.Duration(wait*float64(time.Second)), func() { u.poll(j) })
+}
+
+// ask asks about a job once; the user of one that is over, who asks seldom, asks again soon
+// if there is no answer. Three polls a minute and a half could otherwise all fall into times
+// in which every controller was away, and count as a job that is forgotten.
+func (u *Users) ask(j *userJob) {
 	asked := u.w.now
 	u.call("GET", "/work/"+j.spec.ID, nil, func(res core.Response) {
 		var s api.JobStatus
@@ -252,13 +266,15 @@
 		default:
 			u.Unanswered++
 			u.w.Check.Polled(j.spec.ID, asked, false)
+			if j.final != "" && !j.asking {
+				j.asking = true
+				u.w.In(time.Duration(u.w.between(4, 6)*float64(time.Second)), func() {
+					j.asking = false
+					u.ask(j)
+				})
+			}
 		}
 	})
-	wait := u.w.between(4, 6) / max(u.Often, 1)
-	if j.final != "" {
-		wait = u.w.between(20, 60)
-	}
-	u.w.In(time.Duration(wait*float64(time.Second)), func() { u.poll(j) })
 }
 
 // Cancel cancels a job and keeps asking until that is answered.
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -32,8 +32,11 @@
 	phase    mirrorPhase
 	complete bool // has once held everything up to some revision
 	ring     core.Revision
-	loadTo   core.Revision
-	epoch    int
+	loadTo   core.Revision // a watch that is opened before that is reached does not wait
+	loads    int           // how often all keys were read
+	// catchingUp: a watch that does not wait is under way.
+	catchingUp bool
+	epoch      int
 
 	Leader  Versioned[*Leader]
 	Term    Versioned[TermCounter]
@@ -73,7 +76,9 @@
 	watchBlock = 5 * time.Second
 	watchPause = 25 * time.Millisecond
 	freshWait  = 2 * time.Second
-	maxWaiting = 500
+	// catchUpAfter is how long a watch may take to bring what is known to have happened.
+	catchUpAfter = time.Second
+	maxWaiting   = 500
 )
 
 // NewMirror makes an empty mirror; Start fills it.
@@ -129,6 +134,7 @@
 			return
 		}
 		m.reset()
+		m.loads++
 		var events []api.Event
 		for _, page := range got {
 			for _, it := range page.Items {
@@ -144,13 +150,22 @@
 }
 
 func (m *Mirror) follow(epoch int, failures int) {
-	block := watchBlock
-	if m.ring < m.loadTo || !m.complete {
+	block, loads := watchBlock, m.loads
+	m.catchingUp = m.ring < m.loadTo || !m.complete
+	if m.catchingUp {
 		block = 0
 	}
 	m.client.Watch(root, m.ring, block, func(a api.WatchAnswer, ok, gone bool) {
+		// Also the answer to a watch that was given up tells what has happened, as long as
+		// the keys were not read again: a page may be older than that.
+		if ok && m.phase == following && loads == m.loads {
+			m.advance(core.Revision(a.Revision), a.Events)
+		}
+		if epoch != m.epoch {
+			return
+		}
+		m.catchingUp = false
 		switch {
-		case epoch != m.epoch:
 		case gone:
 			m.log.Info("the state service no longer keeps the changes we missed; reading all keys again")
 			m.become(loading)
@@ -166,7 +181,6 @@
 				}
 			})
 		default:
-			m.advance(core.Revision(a.Revision), a.Events)
 			m.loop.After(max(watchPause, m.client.Spacing()), func() {
 				if epoch == m.epoch {
 					m.follow(epoch, 0)
@@ -176,10 +190,13 @@
 	})
 }
 
+// advance takes in what a watch has brought. Its answer holds all changes since a revision
+// that the mirror had reached, so one that comes after a newer one tells nothing new.
 func (m *Mirror) advance(ring core.Revision, events []api.Event) {
-	if ring > m.ring {
-		m.ring = ring
+	if ring < m.ring {
+		return
 	}
+	m.ring = ring
 	if m.ring >= m.loadTo {
 		m.complete = true
 	}
