Incident reproduced: a task is started on a second machine while its newer attempt runs

Cause, as far as the records and the reproduction show: a new holder first takes in an old report that shows a task's earlier attempt, then the machine's answer that shows the present one. A job's picture keeps one attempt a task, the first that was seen; once that is proven off, the task counts as waiting. Change: tests only.

--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -47,8 +47,13 @@
 	Decide func(from core.Host, t api.Txn) TxnFate
 	// Led, if set, is told when a controller becomes the leader.
 	Led func(h core.Host)
+	// Granted, if set, is told when blocks are granted.
+	Granted func()
 }
 
+// keyBlocks begins the keys of all blocks' records.
+var keyBlocks = strings.TrimSuffix(state.KeyBlock(0), "0")
+
 // TxnFate is what becomes of a transaction.
 type TxnFate struct {
 	Late time.Duration // carried out that much later, without an answer
@@ -327,6 +332,9 @@
 			if c.Set == state.KeyLeader && s.Led != nil {
 				s.Led(s.Leader().name)
 			}
+			if strings.HasPrefix(c.Set, keyBlocks) && s.Granted != nil {
+				s.Granted()
+			}
 		}
 		if over := len(s.log) - keptEvents; over > 0 {
 			s.floor = s.log[over-1].Version
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -74,9 +74,8 @@
 	// CancelAtEnd is the share of the jobs that end which their users call off at that
 	// very moment.
 	CancelAtEnd float64
-	// keeping: a copy of one report of each machine is kept, see KeepReports.
-	keeping bool
-	kept    map[party]core.Request
+	// kept holds the copies of reports that reach controllers later.
+	kept keptReports
 
 	now    Clock
 	seq    uint64
@@ -253,45 +252,14 @@
 			w.again(from, r, w.between(2, 4*w.Cfg.Workers.Lease.Seconds()))
 		}
 	}
-	if w.keeping && r.Path == "/hello" {
-		if _, ok := w.kept[from]; !ok {
-			w.kept[from] = r
-		}
+	if r.Path == "/hello" {
+		w.kept.keep(from, r)
 	}
 	if w.Repeat > 0 && r.Path != "/watch" && w.chance(w.Repeat) {
 		w.again(from, r, w.between(0.01, 150))
 	}
 }
 
-// again delivers a copy of a request after so many seconds. Its sender may be
-// gone by then, and the receiver another process; nobody gets the answer.
-func (w *World) again(from party, r core.Request, seconds float64) {
-	w.In(time.Duration(seconds*float64(time.Second)), func() {
-		if _, h := w.route(r.Addr); h != nil {
-			h(from, r, func(core.Response) {})
-		}
-	})
-}
-
-// KeepReports keeps a copy of the next report of each machine. As soon as there is a new
-// leader, all of them reach every controller.
-func (w *World) KeepReports() {
-	w.keeping, w.kept = true, map[party]core.Request{}
-	w.State.Led = func(core.Host) {
-		if !w.keeping {
-			return
-		}
-		w.keeping = false
-		for _, from := range core.Keys(w.kept) {
-			for _, h := range w.Hosts {
-				r := w.kept[from]
-				r.Addr = h.addr
-				w.again(from, r, w.between(0.05, 1.5))
-			}
-		}
-	}
-}
-
 func (w *World) host(name core.Host) *Host {
 	for _, h := range w.Hosts {
 		if h.name == name {
