A task waits only if no attempt of it may be on any machine

Cause: a job kept one attempt a task, the first that a holder happened to see. A second one was booked on its machine but not for the task; when the first was proven off, the task counted as waiting and was started elsewhere (ran_twice), and the second one, which ran, was stopped as not wanted. design.md's "a task is off only by proof, until then booked" held for machines and teams, not for jobs. Change: a job holds every attempt that is booked (attemptSet), kept in step by the two functions through which attempts come and leave; what waits is a function of it. While a holder recovers it stops no attempt for another's sake and breaks no gang; then the newest attempt is kept, and another is stopped only beside one that is on its machine. A report's running tasks are taken in before its ended ones.

--- a/internal/block/answers.go
+++ b/internal/block/answers.go
@@ -112,10 +112,10 @@
 }
 
 // unwanted tells whether a task on a machine should not be there: its job is
-// over, or unknown to us, or has the task elsewhere.
+// over, or unknown to us, or has no use for this attempt.
 func (h *Holder) unwanted(s *slot) bool {
 	e, j := h.Mirror.Jobs[s.task.Job], h.jobs[s.task.Job]
-	return e == nil || e.Over() || j == nil || j.cancelled || j.slots[s.task.Index] != s
+	return e == nil || e.Over() || j == nil || j.cancelled || h.superseded(j, s)
 }
 
 // ready tells whether starts may be sent to a machine.
--- a/internal/block/attempts.go
+++ b/internal/block/attempts.go
@@ -4,72 +4,96 @@
 	"lichenstair/internal/core"
 )
 
-// moveSlot is the one place where a slot's state changes.
+// book is the one place where an attempt comes into the picture of its machine and its job.
+func (h *Holder) book(s *slot) {
+	s.machine.add(s)
+	j := h.jobs[s.task.Job]
+	if j != nil && s.booked() && s.task.Index < j.spec.Tasks {
+		j.attempts.add(s)
+	}
+}
+
+// moveSlot is the one place where a slot's state changes, and with it the one where an
+// attempt leaves its job's picture.
 func (h *Holder) moveSlot(s *slot, to slotState) {
 	if s.state == to {
 		return
 	}
 	h.Log.Debug("task changes state", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "from", s.state.String(), "to", to.String())
+	was := s.booked()
 	s.state = to
+	if was && !s.booked() {
+		h.unbook(s)
+	}
 }
 
 // setOff notes that a slot's attempt is proven not to be on its machine.
 func (h *Holder) setOff(s *slot, why string) {
 	was := s.state
-	h.moveSlot(s, off)
 	s.machine.drop(s)
+	h.moveSlot(s, off)
 	if was != planned && was != exited && why != "" {
 		h.Log.Info("task is off its machine", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "was", was.String(), "why", why)
 	}
-	h.unplace(s)
+	h.dirty = true
 }
 
-// unplace lets a slot's task wait again, unless it is done.
-func (h *Holder) unplace(s *slot) {
-	h.dirty = true
+// unbook takes an attempt that is not on its machine out of its job's picture. Its task
+// waits again, unless it is done or another attempt of it may be on a machine.
+func (h *Holder) unbook(s *slot) {
 	j := h.jobs[s.task.Job]
-	if j == nil || j.slots[s.task.Index] != s {
+	if j == nil || !j.attempts.remove(s) || j.done.Has(s.task.Index) {
 		return
 	}
-	delete(j.slots, s.task.Index)
-	if j.done.Has(s.task.Index) {
-		return
-	}
-	j.again = append(j.again, s.task.Index)
-	if j.gang() {
-		h.breakGang(j)
+	if !j.attempts.booked(s.task.Index) {
+		j.again = append(j.again, s.task.Index)
 	}
+	h.checkGang(j)
 }
 
-// breakGang stops what is left of a gang that lost a member.
-func (h *Holder) breakGang(j *job) {
-	if len(j.slots) == 0 {
+// checkGang stops what is left of a gang that is not whole. A holder that recovers does so
+// once it has heard of all machines; before, its picture may lack members that run.
+func (h *Holder) checkGang(j *job) {
+	switch {
+	case !j.gang() || h.state != placing:
+		return
+	case j.attempts.empty():
 		j.broken = false
 		return
+	case !j.broken && j.whole():
+		return
 	}
 	j.broken = true
-	for _, i := range core.Keys(j.slots) {
-		if s := j.slots[i]; s != nil && s.state == planned {
-			s.machine.drop(s)
-			h.moveSlot(s, off)
-			delete(j.slots, s.task.Index)
-			j.again = append(j.again, s.task.Index)
-		} else if s != nil {
+	for _, s := range j.attempts.all() {
+		if s.state == planned {
+			h.setOff(s, "")
+		} else {
 			s.stop = true
 		}
 	}
-	if len(j.slots) == 0 {
-		j.broken = false
-	}
 }
 
-// checkGangs breaks gangs of which recovery found only a part.
+// checkGangs stops what is left of gangs of which recovery found only a part.
 func (h *Holder) checkGangs() {
 	for _, id := range core.Keys(h.jobs) {
-		if j := h.jobs[id]; j.gang() && len(j.slots) > 0 && j.waiting() > 0 {
-			h.breakGang(j)
-		}
+		h.checkGang(h.jobs[id])
+	}
+}
+
+// superseded tells whether an attempt is of no use to its job: its task is done, or a newer
+// attempt of it is on a machine as well. While a holder recovers, an attempt that it was
+// shown may be gone already, so none is stopped for the sake of another.
+func (h *Holder) superseded(j *job, s *slot) bool {
+	switch {
+	case s.task.Index >= j.spec.Tasks:
+		return true
+	case j.done.Has(s.task.Index):
+		return !j.gang() // a gang's members report by themselves that they are done
+	case h.state != placing:
+		return false
 	}
+	current := j.attempts.current(s.task.Index)
+	return current != nil && current != s && current.state == present
 }
 
 // finish notes that a task has completed.
--- a/internal/block/attempts_test.go
+++ b/internal/block/attempts_test.go
@@ -30,7 +30,7 @@
 	}
 	id := core.JobID(spec.ID)
 	j := &job{
-		id: id, spec: &spec, need: placement.Need{CPUs: spec.CPUs, MemoryGB: spec.MemoryGB}, slots: map[int]*slot{},
+		id: id, spec: &spec, need: placement.Need{CPUs: spec.CPUs, MemoryGB: spec.MemoryGB},
 		avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{},
 	}
 	h.jobs[id] = j
--- a/internal/block/candidates.go
+++ b/internal/block/candidates.go
@@ -75,7 +75,7 @@
 			h.dirty = true
 			continue
 		}
-		if j.waiting() <= 0 || j.broken || j.cancelled || j.gang() && len(j.slots) > 0 {
+		if j.waiting() <= 0 || j.broken || j.cancelled || j.gang() && !j.attempts.empty() {
 			continue
 		}
 		candidate := h.candidate(j, now, wall, guaranteed)
--- a/internal/block/follow.go
+++ b/internal/block/follow.go
@@ -104,14 +104,14 @@
 		}
 		j = &job{
 			id: id, at: e.At, sent: e.At, blocked: true, spec: e.Spec, rank: placement.Rank(e.Spec.Rank), need: placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB},
-			slots: map[int]*slot{}, avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{}, inherited: h.state == recovering,
+			avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{}, inherited: h.state == recovering,
 		}
 		h.jobs[id] = j
 		h.Log.Info("job to place", "job", id, "class", j.spec.Class, "team", j.spec.Team, "form", j.spec.Form, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs, "memory_gb", j.spec.MemoryGB, "spot", j.spec.Spot, "image", j.spec.Image, "estimate_s", j.spec.EstimateS, "age_ms", h.Loop.Wall()-j.at)
 		for _, mid := range core.Keys(h.machines) {
 			for _, s := range h.machines[mid].list() {
-				if s.task.Job == id && s.booked() {
-					j.slots[s.task.Index] = s
+				if s.task.Job == id && s.booked() && s.task.Index < j.spec.Tasks {
+					j.attempts.add(s)
 				}
 			}
 		}
@@ -151,8 +151,8 @@
 
 // dropPlans takes back what is planned of a job that is over.
 func (h *Holder) dropPlans(j *job) {
-	for _, i := range core.Keys(j.slots) {
-		if s := j.slots[i]; s != nil && s.state == planned {
+	for _, s := range j.attempts.all() {
+		if s.state == planned {
 			h.setOff(s, "job over")
 		}
 	}
--- a/internal/block/hints.go
+++ b/internal/block/hints.go
@@ -52,11 +52,5 @@
 	if j == nil {
 		return 0
 	}
-	n := 0
-	for _, s := range j.slots {
-		if s.state == present && s.view != api.TaskFetching {
-			n++
-		}
-	}
-	return n
+	return j.attempts.count(func(s *slot) bool { return s.state == present && s.view != api.TaskFetching })
 }
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -178,7 +178,7 @@
 	h.machines["n-2"] = second
 	newJob := func(id core.JobID) *job {
 		j := &job{
-			id: id, spec: &api.Job{ID: string(id), Form: api.FormArray, Team: "red", Tasks: 40, EstimateS: 10}, slots: map[int]*slot{},
+			id: id, spec: &api.Job{ID: string(id), Form: api.FormArray, Team: "red", Tasks: 40, EstimateS: 10},
 			avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{},
 		}
 		h.jobs[id] = j
@@ -238,7 +238,7 @@
 	e := &state.JobEntry{Job: state.Job{Phase: state.JobAccepted, Tasks: 2}}
 	h.Mirror.Jobs["req-1"] = e
 	h.Types = func() map[string]api.MachineType { return nil }
-	h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Tasks: 2}, slots: map[int]*slot{}, failed: map[core.MachineID]bool{}}
+	h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Tasks: 2}, failed: map[core.MachineID]bool{}}
 	clears := func(tally uint64, cause string) (n int) {
 		h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: tally, Term: 7, Tasks: []api.TaskView{{Task: "req-1/0", Attempt: 3, State: api.TaskExited, Cause: cause}}}, true, h.Loop.Now())
 		for _, o := range h.orders(m) {
@@ -353,7 +353,7 @@
 	h.Config.Operator.Idle = 20 * time.Second
 	m.total, m.idle = placement.Need{CPUs: 8, MemoryGB: 8}, 1
 	now := core.Time(5 * time.Second)
-	h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Form: api.FormArray, Team: "red", Tasks: 3, CPUs: 1, MemoryGB: 1}, need: placement.Need{CPUs: 1, MemoryGB: 1}, slots: map[int]*slot{}}
+	h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Form: api.FormArray, Team: "red", Tasks: 3, CPUs: 1, MemoryGB: 1}, need: placement.Need{CPUs: 1, MemoryGB: 1}}
 	if h.releasable(m, now) {
 		t.Error("released before the first pass, though a job waits")
 	}
@@ -362,7 +362,7 @@
 		used     float64
 		released bool
 	}{{api.FormArray, 0, false}, {api.FormArray, 99, false}, {api.FormArray, 99.5, true}, {api.FormGang, 97, false}, {api.FormGang, 98, true}} {
-		h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Form: tc.form, Team: "red", Tasks: 3, CPUs: 1, MemoryGB: 1}, need: placement.Need{CPUs: 1, MemoryGB: 1}, slots: map[int]*slot{}}
+		h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Form: tc.form, Team: "red", Tasks: 3, CPUs: 1, MemoryGB: 1}, need: placement.Need{CPUs: 1, MemoryGB: 1}}
 		h.teams = map[string]*placement.Team{"red": {Used: placement.Need{CPUs: tc.used}, Max: placement.Need{CPUs: 100}}}
 		if got := h.releasable(m, now); got != tc.released {
 			t.Errorf("%s, %v of 100 CPUs used: released %v", tc.form, tc.used, got)
@@ -374,7 +374,7 @@
 // waited in between; and one that began before the holder had the block counts up to a bound.
 func TestWaitBeginsAnewOnceNothingRuns(t *testing.T) {
 	h, m := testHolder()
-	j := &job{id: "req-1", spec: &api.Job{Form: api.FormArray, Team: "red", Tasks: 1}, slots: map[int]*slot{}}
+	j := &job{id: "req-1", spec: &api.Job{Form: api.FormArray, Team: "red", Tasks: 1}}
 	h.jobs["req-1"] = j
 	at := func(s int) placement.Starvation {
 		now := core.Time(s) * core.Time(time.Second)
@@ -386,11 +386,12 @@
 	if got := at(10); got != placement.NotStarving {
 		t.Fatalf("at once: %d", got)
 	}
-	j.slots[0] = &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 1}, machine: m, state: present}
+	running := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 1}, machine: m, state: present}
+	j.attempts.add(running)
 	if got := at(30); got != -1 {
 		t.Fatalf("nothing waits: %d", got)
 	}
-	delete(j.slots, 0)
+	j.attempts.remove(running)
 	if got := at(100); got != placement.NotStarving {
 		t.Errorf("the task has just left its machine: %d", got)
 	}
@@ -402,11 +403,12 @@
 	}
 	// A start that is lost ends no wait; while it is planned, no more is placed for it.
 	j.spec.Tasks = 2
-	j.slots[0] = &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 2}, machine: m, state: starting}
+	lost := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 2}, machine: m, state: starting}
+	j.attempts.add(lost)
 	if got := at(172); got != placement.NotStarving {
 		t.Errorf("with a start on its way: %d", got)
 	}
-	delete(j.slots, 0)
+	j.attempts.remove(lost)
 	if got := at(175); got != placement.Starved {
 		t.Errorf("the start was lost: %d", got)
 	}
--- a/internal/block/job.go
+++ b/internal/block/job.go
@@ -22,9 +22,10 @@
 	need    placement.Need
 	done    core.Set // known done, durable or not
 	pending core.Set // done, not yet durable
-	slots   map[int]*slot
-	cursor  int   // tasks below are or were started, or done
-	again   []int // tasks below cursor that wait again
+	// attempts is all that is known of where its tasks may be.
+	attempts attemptSet
+	cursor   int   // tasks below are or were started, or done
+	again    []int // tasks below cursor that wait again
 	// withoutTasks: none of its tasks has a machine, since withoutSince.
 	withoutTasks bool
 	withoutSince core.Time
@@ -48,7 +49,7 @@
 // it has failed on more than one machine and completed nothing.
 func (j *job) probing() bool { return len(j.failed) > 1 && j.done.Empty() }
 
-// waiting counts the tasks that neither are done nor have a slot. It is where a job that
+// waiting counts the tasks that neither are done nor may be on a machine. It is where a job that
 // depends on others is kept from starting, and from all that comes with waiting: a place
 // in line, a reservation, machines.
 func (j *job) waiting() int {
@@ -58,14 +59,21 @@
 	return j.spec.Tasks - j.done.Len() - j.live()
 }
 
+// live counts the tasks that are not done and may be on a machine.
 func (j *job) live() int {
-	n := 0
-	for i := range j.slots {
-		if !j.done.Has(i) {
-			n++
+	return j.attempts.count(func(s *slot) bool { return !j.done.Has(s.task.Index) })
+}
+
+// whole tells whether every task of a gang that is not done has an attempt of the same
+// number, the newest.
+func (j *job) whole() bool {
+	number, members := j.attempts.newest(), 0
+	for task, attempts := range j.attempts.byTask {
+		if !j.done.Has(task) && attempts[0].attempt == number {
+			members++
 		}
 	}
-	return n
+	return members == j.spec.Tasks-j.done.Len()
 }
 
 // noteWait follows since when the job has had nothing on a machine. What it waited before
@@ -86,12 +94,7 @@
 // onMachines tells whether a machine has reported a task of the job. A plan, or a start
 // that may still be lost, ends no wait: each that came to nothing had the wait begin anew.
 func (j *job) onMachines() bool {
-	for _, s := range j.slots {
-		if s.state == present {
-			return true
-		}
-	}
-	return false
+	return j.attempts.any(func(s *slot) bool { return s.state == present })
 }
 
 // starvation tells how far the wait of a job that has no task placed has gone.
@@ -118,7 +121,7 @@
 	for len(j.again) > 0 {
 		i := j.again[0]
 		j.again = j.again[1:]
-		if !j.done.Has(i) && j.slots[i] == nil {
+		if !j.done.Has(i) && !j.attempts.booked(i) {
 			return i, true
 		}
 	}
@@ -129,7 +132,7 @@
 			break
 		}
 		j.cursor = i + 1
-		if j.slots[i] == nil {
+		if !j.attempts.booked(i) {
 			return i, true
 		}
 	}
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -147,9 +147,7 @@
 	}
 	var attempt core.Attempt
 	if j.gang() {
-		for _, s := range j.slots {
-			attempt = s.attempt
-		}
+		attempt = j.attempts.newest() // of the members that this pass has planned already
 	}
 	if attempt == 0 {
 		// The term makes it unique among holders, the count among our own.
@@ -158,7 +156,6 @@
 	}
 	s := &slot{slotKey: slotKey{core.TaskID{Job: j.id, Index: i}, attempt}, machine: m, team: j.spec.Team, need: j.need}
 	s.ends = h.Loop.Now().Add(h.expected(s, m))
-	j.slots[i] = s
-	m.add(s)
+	h.book(s)
 	m.idle = 0
 }
--- a/internal/block/preempt.go
+++ b/internal/block/preempt.go
@@ -63,7 +63,7 @@
 func (h *Holder) lowestThatSaves() (rank int, ok bool) {
 	rank = placement.TopRank
 	for _, j := range h.jobs {
-		if !j.gang() && j.spec.CheckpointS > 0 && len(j.slots) > 0 {
+		if !j.gang() && j.spec.CheckpointS > 0 && !j.attempts.empty() {
 			rank = min(rank, j.rank)
 		}
 	}
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -102,14 +103,21 @@
 // machine by not showing it.
 func (h *Holder) takeTasks(m *machine, rep *api.Report, viaReport bool, asked core.Time) {
 	shown := map[slotKey]bool{}
-	for _, view := range rep.Tasks {
-		id, err := core.ParseTask(view.Task)
-		if err != nil {
-			continue
+	// What is on the machine is taken in before what has left it, so that nothing is missing
+	// from the picture in between.
+	for _, exited := range []bool{false, true} {
+		for _, view := range rep.Tasks {
+			if (view.State == api.TaskExited) != exited {
+				continue
+			}
+			id, err := core.ParseTask(view.Task)
+			if err != nil {
+				continue
+			}
+			key := slotKey{id, core.Attempt(view.Attempt)}
+			shown[key] = true
+			h.see(m, key, view)
 		}
-		key := slotKey{id, core.Attempt(view.Attempt)}
-		shown[key] = true
-		h.see(m, key, view)
 	}
 	for _, s := range m.list() {
 		switch {
@@ -158,28 +166,23 @@
 		j = nil
 	}
 	s := m.slots[key]
-	if s == nil {
+	switch {
+	case s == nil:
 		s = h.discover(m, key, view, j)
-	}
-	if s.state == exited {
+	case s.state == exited:
 		return
 	}
 	s.view = view.State
 	if j != nil {
 		h.noteRun(s, j)
 	}
-	if view.State != api.TaskExited {
-		h.moveSlot(s, present)
-		if j != nil {
-			j.seen = true
-		}
+	if view.State == api.TaskExited {
+		h.takeExit(s, j, view)
 		return
 	}
-	h.moveSlot(s, exited)
-	s.cause = view.Cause
-	h.dirty = true
+	h.moveSlot(s, present)
 	if j != nil {
-		h.takeExit(s, j, view)
+		j.seen = true
 	}
 }
 
@@ -193,23 +196,26 @@
 	if j != nil {
 		s.ends = now.Add(h.expected(s, m))
 	}
-	m.add(s)
+	if view.State == api.TaskExited {
+		s.state = exited
+	}
+	h.book(s)
 	h.dirty = true
-	if j == nil || view.State == api.TaskExited || j.done.Has(key.task.Index) {
-		return s
-	}
-	switch other := j.slots[key.task.Index]; {
-	case other == nil:
-		j.slots[key.task.Index] = s
-	case other.state == planned:
-		// It already runs here; the plan is dropped.
-		other.machine.drop(other)
-		h.moveSlot(other, off)
-		j.slots[key.task.Index] = s
+	if j != nil && s.booked() {
+		h.dropPlansFor(j, key.task.Index)
 	}
 	return s
 }
 
+// dropPlansFor drops the plans for a task that already runs somewhere.
+func (h *Holder) dropPlansFor(j *job, task int) {
+	for _, s := range slices.Clone(j.attempts.byTask[task]) {
+		if s.state == planned {
+			h.setOff(s, "")
+		}
+	}
+}
+
 // noteRun follows that an attempt has its image, and since when it runs.
 func (h *Holder) noteRun(s *slot, j *job) {
 	if s.view != api.TaskRunning && s.view != api.TaskGathering && s.view != api.TaskSaving {
@@ -223,14 +229,23 @@
 	}
 }
 
-// takeExit takes in that an attempt has ended.
+// takeExit takes in that an attempt has ended. j is nil if its job is not ours to finish.
 func (h *Holder) takeExit(s *slot, j *job, view api.TaskView) {
-	if view.Cause != api.CauseDone {
+	s.cause = view.Cause
+	h.dirty = true
+	if j != nil && view.Cause == api.CauseDone {
+		h.takeDone(s, j)
+	}
+	// What is done is noted before: its task must not wait again.
+	h.moveSlot(s, exited)
+	if j != nil && view.Cause != api.CauseDone {
 		h.Log.Info("task ended without completing", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "cause", view.Cause, "saved", view.Saved)
 		h.blame(s.machine, j, view.Cause)
-		h.unplace(s)
-		return
 	}
+}
+
+// takeDone takes in that an attempt has completed its task.
+func (h *Holder) takeDone(s *slot, j *job) {
 	s.machine.fails = 0
 	h.acquit(j)
 	h.finish(j, s.task.Index)
@@ -240,7 +255,6 @@
 			h.finish(j, i)
 		}
 	}
-	h.unplace(s)
 }
 
 // unsettled tells whether a write about a machine, sent under a version of its
