Logs and metrics that tell what a holder's picture rests on, and why it acts

Need: the records of the incident could not tell by which message, and of which age, an attempt was learnt, why a start or stop was allowed, or how far the state service had been read. Change: evidence, results of messages, reasons for stops and for releases are types; lines for each at debug, at info for two attempts of a task, a superseded attempt, a broken gang. GET /metrics in Prometheus's text format, with its client library. An attempt that gave way to a newer one stays told to stop.

--- a/internal/block/answers.go
+++ b/internal/block/answers.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"cmp"
 	"time"
 
 	"lichenstair/api"
@@ -11,19 +12,20 @@
 // later; done(_, false) means that the machine is not ours to answer.
 func (h *Holder) Report(rep *api.Report, done func(api.ReportAnswer, bool)) {
 	m := h.machines[core.MachineID(rep.Machine)]
-	if m == nil || !h.Entitled() || core.Term(rep.Term) > h.termOf(m) || m.floor == ^core.Season(0) {
+	if m == nil || m.floor == ^core.Season(0) {
 		done(api.ReportAnswer{}, false)
 		return
 	}
 	now := h.Loop.Now()
-	if h.lateCopy(m, rep, now) {
+	if refusal := h.refusal(m, rep, now); refusal != "" {
+		h.noteMessage(m, fromReport, refusal, core.Season(rep.Season), core.Tally(rep.Tally))
 		done(api.ReportAnswer{}, false)
 		return
 	}
 	h.flush(m)
 	m.addr = rep.Addr
 	m.reported = now
-	fresh := h.take(m, rep, true, now)
+	fresh := h.take(m, rep, evidence{fromReport, now})
 	if !m.fenced {
 		h.fence(m)
 		if m.unheard == 0 {
@@ -34,6 +36,7 @@
 			// reaches it. An answer held to renew its lease would put off for
 			// ever the time at which that has surely run out, and the whole
 			// block would wait for it.
+			h.noteMessage(m, fromReport, messageUnheard, m.season, m.tally)
 			done(api.ReportAnswer{}, false)
 			return
 		}
@@ -60,6 +63,19 @@
 	}
 }
 
+// refusal tells why a report is neither taken in nor answered; empty: it is.
+func (h *Holder) refusal(m *machine, rep *api.Report, now core.Time) messageResult {
+	switch {
+	case !h.Entitled():
+		return messageNotEntitled
+	case core.Term(rep.Term) > h.termOf(m):
+		return messageOverruled
+	case h.lateCopy(m, rep, now):
+		return messageLateCopy
+	}
+	return ""
+}
+
 // holdTime is how long the answer to a worker may be kept back. Its lease counts
 // from the sending of the report, and it gives up after four seconds. One that
 // is busy may soon have something to tell, but not before its next report is
@@ -104,20 +120,35 @@
 // a task that has to stop.
 func (h *Holder) urgent(m *machine) bool {
 	for _, s := range m.slots {
-		if s.state == planned && h.ready(m) || s.state == present && s.stopped == 0 && (s.stop || h.unwanted(s)) {
+		if s.state == planned && h.ready(m) || s.state == present && s.stopped == 0 && h.stopReason(s) != "" {
 			return true
 		}
 	}
 	return false
 }
 
-// unwanted tells whether a task on a machine should not be there: its job is
-// over, or unknown to us, or has no use for this attempt.
-func (h *Holder) unwanted(s *slot) bool {
+// unwanted tells why a task on a machine should not be there: its job is over, or unknown
+// to us, or has no use for this attempt. Empty: it should.
+func (h *Holder) unwanted(s *slot) stopReason {
 	e, j := h.Mirror.Jobs[s.task.Job], h.jobs[s.task.Job]
-	return e == nil || e.Over() || j == nil || j.cancelled || h.superseded(j, s)
+	switch {
+	case e == nil:
+		return stopUnknownJob
+	case e.Over():
+		return stopJobOver
+	case j == nil:
+		return stopNotOurs
+	case j.cancelled:
+		return stopCancelled
+	case h.superseded(j, s):
+		return stopSuperseded
+	}
+	return ""
 }
 
+// stopReason tells why an attempt on a machine has to stop; empty: it goes on.
+func (h *Holder) stopReason(s *slot) stopReason { return cmp.Or(h.unwanted(s), s.stop) }
+
 // ready tells whether starts may be sent to a machine.
 func (h *Holder) ready(m *machine) bool {
 	return h.state == placing && m.up && m.fenced && !m.unreachable && m.state == live && !h.unsettled(m, m.lowering)
@@ -137,13 +168,17 @@
 				clears = append(clears, order)
 			}
 		case present:
-			if unwanted := h.unwanted(s); unwanted || s.stop {
+			if reason := h.stopReason(s); reason != "" {
 				grace := s.grace
-				if unwanted {
+				if h.unwanted(s) != "" {
 					grace = 0
 				}
+				if reason == stopSuperseded {
+					s.stop = reason // for good, also if the attempt that it gave way to ends
+				}
 				if s.stopped == 0 {
 					s.stopped = now
+					h.noteStop(s, reason)
 				}
 				order.Verb, order.GraceS = api.VerbKill, &grace
 				kills = append(kills, order)
@@ -152,6 +187,7 @@
 			if h.ready(m) && len(runs) < maxOrders {
 				h.moveSlot(s, starting)
 				s.sentAt, s.sentSeason, s.sentTally = now, m.season, m.tally
+				h.noteStart(s)
 				s.ends = now.Add(h.expected(s, m))
 				order.Verb = api.VerbRun
 				runs = append(runs, order)
--- a/internal/block/attempts.go
+++ b/internal/block/attempts.go
@@ -28,26 +28,25 @@
 }
 
 // setOff notes that a slot's attempt is proven not to be on its machine.
-func (h *Holder) setOff(s *slot, why string) {
+func (h *Holder) setOff(s *slot, why releaseReason) {
 	was := s.state
 	s.machine.drop(s)
 	h.moveSlot(s, off)
-	if was != planned && was != exited && why != "" {
+	h.Metrics.Releases.WithLabelValues(string(why)).Inc()
+	if was != planned && was != exited && why.lost() {
 		h.Log.Info("task is off its machine", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "was", was.String(), "why", why)
 	}
 	h.dirty = true
 }
 
 // unbook takes an attempt that is not on its machine out of its job's picture. Its task
-// waits again, unless it is done or another attempt of it may be on a machine.
+// is in line again, and waits if it is not done and no other attempt of it is booked.
 func (h *Holder) unbook(s *slot) {
 	j := h.jobs[s.task.Job]
 	if j == nil || !j.attempts.remove(s) || j.done.Has(s.task.Index) {
 		return
 	}
-	if !j.attempts.booked(s.task.Index) {
-		j.again = append(j.again, s.task.Index)
-	}
+	j.again = append(j.again, s.task.Index)
 	h.checkGang(j)
 }
 
@@ -66,9 +65,9 @@
 	j.broken = true
 	for _, s := range j.attempts.all() {
 		if s.state == planned {
-			h.setOff(s, "")
+			h.setOff(s, releasePlanDropped)
 		} else {
-			s.stop = true
+			s.stop = stopGangBroken
 		}
 	}
 }
--- a/internal/block/attempts_test.go
+++ b/internal/block/attempts_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 
 	"lichenstair/api"
@@ -66,12 +65,12 @@
 func TestTaskWithANewerAttemptIsNotStartedAgain(t *testing.T) {
 	h, j := recoveringHolder(api.Job{ID: "req-1", Form: api.FormGang, Team: "red", Tasks: 1, CPUs: 40, MemoryGB: 5, EstimateS: 60}, 2)
 	first, second := h.machines["n-1"], h.machines["n-2"]
-	h.take(first, reportOf("n-1", 20, 4, runningTask("req-1/0", 51)), true, 0)
+	h.take(first, reportOf("n-1", 20, 4, runningTask("req-1/0", 51)), evidence{fromReport, 0})
 	if n := killsOf(h, first, 51); n != 0 {
 		t.Fatal("the only attempt that is known is stopped")
 	}
-	h.take(first, reportOf("n-1", 40, 7, runningTask("req-1/0", 385)), false, 0)
-	h.take(second, reportOf("n-2", 9, 7), false, 0)
+	h.take(first, reportOf("n-1", 40, 7, runningTask("req-1/0", 385)), evidence{fromAnswer, 0})
+	h.take(second, reportOf("n-2", 9, 7), evidence{fromAnswer, 0})
 	h.checkRecovered()
 	if h.state != placing {
 		t.Fatal("every machine has answered and the holder does not place")
@@ -88,128 +87,235 @@
 	}
 }
 
-// history is what really happens on machines, and every report that they could have sent.
-// A task is started only when no attempt of it is on a machine.
-type history struct {
-	random  *rand.Rand
-	tasks   int
-	now     map[core.MachineID]map[slotKey]api.TaskView
-	tally   map[core.MachineID]uint64
-	reports []*api.Report
-	attempt core.Attempt
+// placingHolder is a holder that is about to place, with two machines and a job of some tasks.
+func placingHolder(form string, tasks int) (h *Holder, j *job, first, second *machine) {
+	h, j = recoveringHolder(api.Job{ID: "req-1", Form: form, Team: "red", Tasks: tasks, CPUs: 40, MemoryGB: 5, EstimateS: 60}, 2)
+	first, second = h.machines["n-1"], h.machines["n-2"]
+	return h, j, first, second
 }
 
-func newHistory(seed uint64, tasks, machines int) *history {
-	x := &history{random: rand.New(rand.NewPCG(seed, 1)), tasks: tasks, now: map[core.MachineID]map[slotKey]api.TaskView{}, tally: map[core.MachineID]uint64{}}
-	for i := range machines {
-		x.now[core.MachineID(fmt.Sprintf("n-%d", i+1))] = map[slotKey]api.TaskView{}
+// show has a machine show tasks in a report that it sends under the holder's term.
+func show(h *Holder, m *machine, tally uint64, tasks ...api.TaskView) {
+	h.take(m, reportOf(m.id, tally, 7, tasks...), evidence{fromReport, h.Loop.Now()})
+	h.checkRecovered()
+}
+
+func exitedTask(task string, attempt uint64, cause string) api.TaskView {
+	return api.TaskView{Task: task, Attempt: attempt, State: api.TaskExited, Cause: cause}
+}
+
+// Of two attempts of a task that are both proven to be on machines the newer one is kept and
+// the older one told to stop; the task waits only once both are proven off.
+func TestTwoAttemptsOnTwoMachines(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormArray, 1)
+	show(h, first, 1, runningTask("req-1/0", 5))
+	show(h, second, 1, runningTask("req-1/0", 6))
+	if h.state != placing || killsOf(h, first, 5) != 1 || killsOf(h, second, 6) != 0 {
+		t.Fatal("the older attempt is not the one that is stopped")
 	}
-	return x
+	if used := h.teamsNow()["red"].Used.CPUs; used != 80 {
+		t.Fatalf("the team uses %v CPUs, both attempts need 80", used)
+	}
+	show(h, second, 2) // the newer one is gone
+	if j.waiting() != 0 || killsOf(h, first, 5) != 1 {
+		t.Fatal("the task waits, or the attempt that was told to stop is not told again")
+	}
+	show(h, first, 2, exitedTask("req-1/0", 5, api.CauseHalted))
+	if j.waiting() != 1 {
+		t.Fatal("both attempts are off and the task does not wait")
+	}
+	checkPicture(t, h)
 }
 
-// on finds the attempt of a task that is on a machine.
-func (x *history) on(task core.TaskID) (machine core.MachineID, key slotKey, ok bool) {
-	for id, views := range x.now {
-		for k, v := range views {
-			if k.task == task && v.State != api.TaskExited {
-				return id, k, true
-			}
-		}
+// While a holder recovers, one of two attempts that it was shown may be gone already: it
+// stops neither, and the one that is proven goes on.
+func TestNoAttemptIsStoppedWhileRecovering(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormArray, 1)
+	h.take(second, reportOf("n-2", 1, 4, runningTask("req-1/0", 6)), evidence{fromReport, 0})
+	show(h, first, 1, runningTask("req-1/0", 5))
+	if killsOf(h, first, 5) != 0 || killsOf(h, second, 6) != 0 {
+		t.Fatal("an attempt is stopped before every machine has answered")
 	}
-	return "", slotKey{}, false
-}
-
-// step starts or ends an attempt of a task, or clears one that has ended, and notes the report
-// that follows.
-func (x *history) step() {
-	task := core.TaskID{Job: "req-1", Index: x.random.IntN(x.tasks)}
-	machines := core.Keys(x.now)
-	machine, key, ok := x.on(task)
-	if ok {
-		x.now[machine][key] = api.TaskView{Task: task.String(), Attempt: uint64(key.attempt), State: api.TaskExited, Cause: api.CausePeers}
-	} else {
-		machine = machines[x.random.IntN(len(machines))]
-		for k, v := range x.now[machine] {
-			if v.State == api.TaskExited && x.random.IntN(2) == 0 {
-				delete(x.now[machine], k)
-			}
-		}
-		x.attempt++
-		key = slotKey{task, x.attempt}
-		x.now[machine][key] = runningTask(task.String(), uint64(x.attempt))
+	show(h, second, 2)
+	if h.state != placing || killsOf(h, first, 5) != 0 || j.waiting() != 0 {
+		t.Fatal("the attempt that runs does not go on")
 	}
-	x.reports = append(x.reports, x.report(machine, 4))
 }
 
-// report is what a machine would send now.
-func (x *history) report(machine core.MachineID, term uint64) *api.Report {
-	x.tally[machine]++
-	var views []api.TaskView
-	for _, v := range x.now[machine] {
-		views = append(views, v)
+// A gang completes together: the member that is first reported as done must not have the
+// others stopped, nor the gang wait again.
+func TestGangThatIsDoneIsNotBroken(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormGang, 2)
+	show(h, first, 1, runningTask("req-1/0", 5))
+	show(h, second, 1, runningTask("req-1/1", 5))
+	show(h, first, 2, exitedTask("req-1/0", 5, api.CauseDone))
+	if j.waiting() != 0 || j.broken || killsOf(h, second, 5) != 0 {
+		t.Fatalf("%d wait, broken %v", j.waiting(), j.broken)
 	}
-	return reportOf(machine, x.tally[machine], term, views...)
 }
 
-// Whatever old reports reach a new holder, in whatever order, before each machine has
-// answered its question: in the end it takes no task that runs for waiting, stops none, and
-// leaves none out that does not run.
-func TestOldReportsInAnyOrder(t *testing.T) {
-	for seed := range uint64(400) {
-		random := rand.New(rand.NewPCG(seed, 2))
-		tasks, machines := 1+random.IntN(4), 1+random.IntN(4)
-		x := newHistory(seed, tasks, machines)
-		for range 3 + random.IntN(30) {
-			x.step()
-		}
-		h, j := recoveringHolder(api.Job{ID: "req-1", Form: api.FormArray, Team: "red", Tasks: tasks, CPUs: 1, MemoryGB: 1, EstimateS: 60}, machines)
-		var messages []*api.Report
-		for _, r := range x.reports {
-			if random.IntN(3) == 0 {
-				messages = append(messages, r)
-			}
-		}
-		for _, id := range core.Keys(x.now) {
-			messages = append(messages, x.report(id, 7))
-		}
-		random.Shuffle(len(messages), func(a, b int) { messages[a], messages[b] = messages[b], messages[a] })
-		var stopped []string
-		for _, r := range messages {
-			m := h.machines[core.MachineID(r.Machine)]
-			h.take(m, r, r.Term < 7, h.Loop.Now())
-			for _, o := range h.orders(m) {
-				if k := (slotKey{mustParse(t, o.Task), core.Attempt(o.Attempt)}); o.Verb == api.VerbKill && x.now[m.id][k].State == api.TaskRunning {
-					stopped = append(stopped, fmt.Sprintf("%s attempt %d on %s", o.Task, o.Attempt, m.id))
-				}
-			}
-			h.checkRecovered()
+// An attempt that is still to be proven on its machine stops no other.
+func TestStartOnItsWayStopsNoOtherAttempt(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormArray, 1)
+	show(h, first, 1)
+	show(h, second, 1)
+	sent := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 9}, machine: second, state: starting, sentSeason: 1, sentTally: 1}
+	h.book(sent)
+	show(h, first, 2, runningTask("req-1/0", 5))
+	if killsOf(h, first, 5) != 0 {
+		t.Fatal("the attempt that runs is stopped for a start that may be lost")
+	}
+	show(h, second, 2) // the start was lost
+	if j.waiting() != 0 || j.attempts.current(0).attempt != 5 {
+		t.Fatal("the task does not go on with the attempt that runs")
+	}
+}
+
+// One attempt has completed the task while another runs: the task is done, the other one is
+// stopped, and counts against its team until it is gone.
+func TestDoneWhileAnotherAttemptRuns(t *testing.T) {
+	for _, doneFirst := range []bool{true, false} {
+		h, j, first, second := placingHolder(api.FormArray, 2)
+		if doneFirst {
+			show(h, first, 1, exitedTask("req-1/0", 5, api.CauseDone))
+			show(h, second, 1, runningTask("req-1/0", 6))
+		} else {
+			show(h, second, 1, runningTask("req-1/0", 6))
+			show(h, first, 1, exitedTask("req-1/0", 5, api.CauseDone))
 		}
-		if h.state != placing || len(stopped) > 0 {
-			t.Fatalf("seed %d: %s, stopped %v", seed, h.state, stopped)
+		if !j.done.Has(0) || j.waiting() != 1 || killsOf(h, second, 6) != 1 {
+			t.Fatalf("done %v, %d wait, %d commands to stop", j.done.Has(0), j.waiting(), killsOf(h, second, 6))
 		}
-		want := 0
-		for i := range tasks {
-			if _, _, ok := x.on(core.TaskID{Job: "req-1", Index: i}); !ok {
-				want++
-			}
+		if used := h.teamsNow()["red"].Used.CPUs; used != 40 {
+			t.Fatalf("the team uses %v CPUs beside the attempt that still runs", used)
 		}
-		if got := j.waiting(); got != want {
-			t.Fatalf("seed %d: %d tasks count as waiting, %d do not run", seed, got, want)
+		show(h, second, 2, exitedTask("req-1/0", 6, api.CauseHalted))
+		if i, ok := j.next(); !ok || i != 1 || j.waiting() != 1 {
+			t.Fatalf("task %d is next, %d wait", i, j.waiting())
 		}
-		for range want {
-			i, ok := j.next()
-			if _, _, on := x.on(core.TaskID{Job: "req-1", Index: i}); !ok || on {
-				t.Fatalf("seed %d: task %d is next, and runs: %v", seed, i, on)
-			}
+	}
+}
+
+// A machine that is proven to be empty frees the attempts on it, and not those of the same
+// tasks elsewhere.
+func TestMachineProvenEmpty(t *testing.T) {
+	for name, clear := range map[string]func(h *Holder, m *machine){
+		"lease":       func(h *Holder, m *machine) { h.clearMachine(m, releaseLapsed) },
+		"returned":    func(h *Holder, m *machine) { h.clearMachine(m, releaseReturned) },
+		"new session": func(h *Holder, m *machine) { h.takeNewSeason(m) },
+	} {
+		h, j, first, second := placingHolder(api.FormArray, 2)
+		h.take(first, reportOf("n-1", 1, 4, runningTask("req-1/0", 5), runningTask("req-1/1", 6)), evidence{fromReport, 0})
+		show(h, second, 1, runningTask("req-1/0", 7))
+		clear(h, first)
+		if i, ok := j.next(); j.waiting() != 1 || !ok || i != 1 {
+			t.Errorf("%s: %d tasks wait, %d is next", name, j.waiting(), i)
 		}
+		checkPicture(t, h)
+	}
+}
+
+// What an earlier session or an older message shows is not taken in after a newer one.
+func TestOlderMessageAfterNewer(t *testing.T) {
+	h, j, first, _ := placingHolder(api.FormArray, 1)
+	newer := reportOf("n-1", 3, 7)
+	newer.Season = 2
+	h.take(first, newer, evidence{fromAnswer, 0})
+	if h.take(first, reportOf("n-1", 90, 4, runningTask("req-1/0", 5)), evidence{fromReport, 0}) || j.waiting() != 1 {
+		t.Fatal("an attempt of an earlier session is taken to be on the machine")
+	}
+}
+
+// A task that is told to stop and saves is on its machine until that shows it exited.
+func TestStopMeetsARetry(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormArray, 1)
+	show(h, first, 1, runningTask("req-1/0", 5))
+	show(h, second, 1)
+	h.end(first.slots[slotKey{core.TaskID{Job: "req-1"}, 5}], stopForHigher)
+	if killsOf(h, first, 5) != 1 {
+		t.Fatal("it is not told to stop")
+	}
+	show(h, first, 2, api.TaskView{Task: "req-1/0", Attempt: 5, State: api.TaskSaving})
+	h.pass()
+	if j.waiting() != 0 || !second.empty() {
+		t.Fatal("it is started elsewhere while it saves")
+	}
+	show(h, first, 3, exitedTask("req-1/0", 5, api.CauseHalted))
+	if j.waiting() != 1 {
+		t.Fatal("it has saved and exited, and does not wait")
+	}
+}
+
+// A message that shows the end of a gang's attempt and the next attempt leaves it whole; a
+// gang of which one attempt lacks members is stopped, and waits until all are off.
+func TestGangOfMixedAttempts(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormGang, 2)
+	h.take(first, reportOf("n-1", 1, 4, runningTask("req-1/0", 5)), evidence{fromReport, 0})
+	show(h, second, 1, runningTask("req-1/1", 6))
+	show(h, first, 2, exitedTask("req-1/0", 5, api.CausePeers), runningTask("req-1/0", 6))
+	if j.broken || j.waiting() != 0 || killsOf(h, second, 6) != 0 || killsOf(h, first, 6) != 0 {
+		t.Fatalf("broken %v, %d wait", j.broken, j.waiting())
+	}
+
+	h, j, first, second = placingHolder(api.FormGang, 2)
+	show(h, first, 1, runningTask("req-1/0", 5))
+	show(h, second, 1, runningTask("req-1/1", 6))
+	if killsOf(h, first, 5) != 1 || killsOf(h, second, 6) != 1 {
+		t.Fatal("members of different attempts go on")
+	}
+	show(h, first, 2)
+	if len(h.candidates(h.Loop.Now())) != 0 {
+		t.Fatal("the gang is started beside a member that may still run")
+	}
+	show(h, second, 2)
+	if j.broken || j.waiting() != 2 || len(h.candidates(h.Loop.Now())) != 1 {
+		t.Fatalf("all are off: broken %v, %d wait", j.broken, j.waiting())
+	}
+}
+
+// A gang in the middle of its life takes a message in which a member's old attempt ends and
+// a member's new one is shown for what it is: whole.
+func TestGangMendedWithinOneReport(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormGang, 2)
+	show(h, second, 1, runningTask("req-1/1", 6))
+	show(h, first, 1, runningTask("req-1/0", 6))
+	older := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 5}, machine: first, state: present}
+	h.setOff(first.slots[slotKey{core.TaskID{Job: "req-1"}, 6}], releaseNotShown)
+	j.broken = false
+	for _, s := range j.attempts.all() {
+		s.stop = ""
+	}
+	h.book(older)
+	show(h, first, 2, exitedTask("req-1/0", 5, api.CausePeers), runningTask("req-1/0", 6))
+	if j.broken || killsOf(h, second, 6) != 0 {
+		t.Fatal("the gang is broken up")
+	}
+}
+
+// A job that is learnt of after its attempts knows all of them, not the last that was seen.
+func TestJobLearntAfterItsAttempts(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormArray, 1)
+	h.Mirror.Blocks[0] = state.Versioned[*state.Block]{Record: &state.Block{Teams: []string{"red"}}}
+	delete(h.jobs, j.id)
+	h.take(first, reportOf("n-1", 1, 4, runningTask("req-1/0", 5)), evidence{fromReport, 0})
+	h.take(second, reportOf("n-2", 1, 7, runningTask("req-1/0", 6)), evidence{fromAnswer, 0})
+	h.followJob(j.id)
+	j = h.jobs[j.id]
+	checkPicture(t, h)
+	show(h, first, 2)
+	if j.blocked || j.waiting() != 0 {
+		t.Fatalf("blocked %v, %d tasks wait while one runs", j.blocked, j.waiting())
 	}
 }
 
-func mustParse(t *testing.T, task string) core.TaskID {
-	t.Helper()
-	id, err := core.ParseTask(task)
-	if err != nil {
-		t.Fatal(err)
+// Zones count the tasks of every attempt that may be on a machine.
+func TestZonesCountEveryAttempt(t *testing.T) {
+	h, j, first, second := placingHolder(api.FormArray, 1)
+	j.spec.OneZone = true
+	first.zone, second.zone = "a", "b"
+	show(h, first, 1, runningTask("req-1/0", 5))
+	show(h, second, 1, runningTask("req-1/0", 6))
+	if zones := h.zones()["req-1"]; zones["a"] != 1 || zones["b"] != 1 {
+		t.Fatalf("%v", zones)
 	}
-	return id
 }
--- a/internal/block/bench_test.go
+++ b/internal/block/bench_test.go
@@ -23,7 +23,7 @@
 		if err := api.Decode(raw, &got); err != nil {
 			b.Fatal(err)
 		}
-		h.take(m, &got, true, core.Time(rep.Tally))
+		h.take(m, &got, evidence{fromReport, core.Time(rep.Tally)})
 	}
 	if len(m.slots) != 32 {
 		b.Fatal(len(m.slots))
--- a/internal/block/follow.go
+++ b/internal/block/follow.go
@@ -61,7 +61,7 @@
 			if !m.empty() {
 				h.Log.Error("a machine left the block while something was booked on it", "machine", id)
 			}
-			h.clearMachine(m, "machine left the block")
+			h.clearMachine(m, releaseLeft)
 			delete(h.machines, id)
 			h.flush(m)
 		}
@@ -69,7 +69,7 @@
 	for p := range h.Mirror.Inventory(state.PoolInventory).All() {
 		if m := h.machines[p.ID]; m != nil && p.Fate == state.Gone && m.state != lapsed {
 			// The cloud has answered 200 to its return: it and all on it are gone.
-			h.clearMachine(m, "returned to the cloud")
+			h.clearMachine(m, releaseReturned)
 			h.moveMachine(m, lapsed)
 			m.floor = ^core.Season(0)
 		}
@@ -77,7 +77,7 @@
 }
 
 // clearMachine takes everything off a machine of which that has been proven.
-func (h *Holder) clearMachine(m *machine, why string) {
+func (h *Holder) clearMachine(m *machine, why releaseReason) {
 	for _, s := range m.list() {
 		h.setOff(s, why)
 	}
@@ -153,7 +153,7 @@
 func (h *Holder) dropPlans(j *job) {
 	for _, s := range j.attempts.all() {
 		if s.state == planned {
-			h.setOff(s, "job over")
+			h.setOff(s, releasePlanDropped)
 		}
 	}
 }
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -11,6 +11,7 @@
 	"lichenstair/internal/capacity"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/metrics"
 	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
 	"lichenstair/internal/worker"
@@ -28,6 +29,7 @@
 	Types   func() map[string]api.MachineType
 	Kept    func() capacity.KeptKinds
 	Policy  placement.Policy
+	Metrics *metrics.Metrics
 }
 
 // holderState is the state of a holder.
@@ -95,7 +97,7 @@
 		machines: map[core.MachineID]*machine{}, jobs: map[core.JobID]*job{},
 	}
 	h.Log = env.Log.With("block", rec.Number)
-	h.Log.Info("block granted to us", "term", rec.Term, "machines", h.Mirror.Inventory(rec.Number).Len(), "teams", rec.Teams)
+	h.Log.Info("block granted to us", "term", rec.Term, "machines", h.Mirror.Inventory(rec.Number).Len(), "teams", rec.Teams, "revision", h.Mirror.Revision(), "proven_ago", h.sinceProof().String())
 	h.follow(rec)
 	for _, id := range core.Keys(h.Mirror.Jobs) {
 		h.followJob(id)
@@ -156,6 +158,15 @@
 	return at
 }
 
+// sinceProof is how long ago the mirror was last proven to show everything.
+func (h *Holder) sinceProof() time.Duration {
+	at, ok := h.Mirror.Contact()
+	if !ok {
+		return -1
+	}
+	return h.Loop.Now().Sub(at)
+}
+
 // moveMachine is the one place where a machine's state changes.
 func (h *Holder) moveMachine(m *machine, to machineState) {
 	if m.state == to {
@@ -198,7 +209,7 @@
 			// were taken to be off it.
 			h.moveMachine(m, lapsed)
 			h.setUnreachable(m, true)
-			h.clearMachine(m, "lease surely ran out")
+			h.clearMachine(m, releaseLapsed)
 			m.floor = m.season
 			m.fenced = true
 		}
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -10,6 +10,7 @@
 	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/metrics"
 	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
 	"lichenstair/internal/worker"
@@ -30,7 +31,7 @@
 	client := state.NewClient(loop, loop, "", cfg.StateLim, 3)
 	m := &machine{id: "n-1", state: live, fenced: true, up: true, images: map[string]bool{}, slots: map[slotKey]*slot{}}
 	h := &Holder{
-		Env:  Env{Loop: loop, Log: log, Config: cfg, Mirror: state.NewMirror(loop, client, log), State: client, Workers: worker.NewClient(loop)},
+		Env:  Env{Loop: loop, Log: log, Config: cfg, Mirror: state.NewMirror(loop, client, log), State: client, Workers: worker.NewClient(loop), Metrics: metrics.New()},
 		term: 7, state: placing, machines: map[core.MachineID]*machine{"n-1": m}, jobs: map[core.JobID]*job{},
 	}
 	return h, m
@@ -46,7 +47,7 @@
 		return &api.Report{Machine: "n-1", Addr: "x:1", Type: "t", Season: 1, Tally: tally, Term: 7, Tasks: tasks}
 	}
 	task := api.TaskView{Task: "req-1/0", Attempt: 1, State: api.TaskRunning}
-	h.take(m, report(10, task), true, 0)
+	h.take(m, report(10, task), evidence{fromReport, 0})
 	old := report(5)
 	if h.lateCopy(m, old, loop.now.Add(time.Second)) {
 		t.Fatal("a report that is in flight counts as a late copy")
@@ -54,7 +55,7 @@
 	if !h.lateCopy(m, old, loop.now.Add(6*time.Second)) {
 		t.Fatal("a report from before one of 6 s ago counts as in flight")
 	}
-	if h.take(m, old, true, 0) || m.empty() {
+	if h.take(m, old, evidence{fromReport, 0}) || m.empty() {
 		t.Fatal("a late copy freed a booking")
 	}
 }
@@ -63,14 +64,14 @@
 // not reach it: it gets no work until it has answered a command.
 func TestUnreachableMachineGetsNoWork(t *testing.T) {
 	h, m := testHolder()
-	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 1, Term: 7}, true, 0)
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 1, Term: 7}, evidence{fromReport, 0})
 	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: starting, sentSeason: 1, sentTally: 1}
 	m.add(s)
-	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 2, Term: 7}, true, 1)
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 2, Term: 7}, evidence{fromReport, 1})
 	if !m.empty() || !m.unreachable || h.ready(m) {
 		t.Fatalf("after a start that did not arrive: %d slots, unreachable %v", len(m.slots), m.unreachable)
 	}
-	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 3, Term: 7}, false, 2)
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 3, Term: 7}, evidence{fromAnswer, 2})
 	if m.unreachable || !h.ready(m) {
 		t.Fatal("it answered a command and still counts as unreachable")
 	}
@@ -240,7 +241,7 @@
 	h.Types = func() map[string]api.MachineType { return nil }
 	h.jobs["req-1"] = &job{id: "req-1", spec: &api.Job{Tasks: 2}, failed: map[core.MachineID]bool{}}
 	clears := func(tally uint64, cause string) (n int) {
-		h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: tally, Term: 7, Tasks: []api.TaskView{{Task: "req-1/0", Attempt: 3, State: api.TaskExited, Cause: cause}}}, true, h.Loop.Now())
+		h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: tally, Term: 7, Tasks: []api.TaskView{{Task: "req-1/0", Attempt: 3, State: api.TaskExited, Cause: cause}}}, evidence{fromReport, h.Loop.Now()})
 		for _, o := range h.orders(m) {
 			if o.Verb == api.VerbClear {
 				n++
@@ -315,7 +316,7 @@
 // A late copy of a report gets no answer that would count as one to its machine.
 func TestLateCopyIsNotAnswered(t *testing.T) {
 	h, m, loop := provenHolder(t)
-	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 9, Term: 7}, true, loop.now)
+	h.take(m, &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: 9, Term: 7}, evidence{fromReport, loop.now})
 	loop.now = loop.now.Add(8 * time.Second)
 	ok := true
 	h.Report(&api.Report{Machine: "n-1", Addr: "x:1", Type: "t", Season: 1, Tally: 4, Term: 7}, func(_ api.ReportAnswer, yes bool) { ok = yes })
@@ -334,13 +335,13 @@
 	answer := func(tally uint64) *api.Report {
 		return &api.Report{Machine: "n-1", Addr: "x:1", Season: 1, Tally: tally, Term: 7}
 	}
-	h.take(m, answer(1), false, loop.now)
+	h.take(m, answer(1), evidence{fromAnswer, loop.now})
 	if !m.unreachable || h.ready(m) {
 		t.Fatal("it counts as hearing without a report")
 	}
 	m.reported = loop.now
-	h.take(m, answer(2), true, loop.now)
-	h.take(m, answer(3), false, loop.now)
+	h.take(m, answer(2), evidence{fromReport, loop.now})
+	h.take(m, answer(3), evidence{fromAnswer, loop.now})
 	if m.unreachable || !h.ready(m) {
 		t.Fatal("it reports and answers, and still counts as unreachable")
 	}
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -32,7 +32,7 @@
 func (h *Holder) cancelPlans(m *machine) {
 	for _, s := range m.list() {
 		if s.state == planned {
-			h.setOff(s, "")
+			h.setOff(s, releasePlanDropped)
 		}
 	}
 }
--- a/internal/block/preempt.go
+++ b/internal/block/preempt.go
@@ -26,14 +26,14 @@
 // runs by itself, and loses nothing, since it saves what it has done.
 func (h *Holder) yields(s *slot, rank int, now core.Time) bool {
 	j := h.jobs[s.task.Job]
-	return j != nil && s.state == present && !s.stop && s.view != api.TaskSaving && !j.gang() && j.spec.CheckpointS > 0 && j.rank < rank &&
+	return j != nil && s.state == present && s.stop == "" && s.view != api.TaskSaving && !j.gang() && j.spec.CheckpointS > 0 && j.rank < rank &&
 		(s.since == 0 || now.Sub(s.since) > settled)
 }
 
 // end tells a task to save and exit.
-func (h *Holder) end(s *slot) {
+func (h *Holder) end(s *slot, reason stopReason) {
 	j := h.jobs[s.task.Job]
-	s.stop, s.grace = true, j.spec.SaveS+saveSlack.Seconds()
+	s.stop, s.grace = reason, j.spec.SaveS+saveSlack.Seconds()
 }
 
 // preempt makes room for waiting work by stopping tasks of lower ranks that save what
@@ -91,7 +91,7 @@
 func (p *preemption) freeSoon(m *placement.Machine) placement.Need {
 	free := m.Free()
 	for _, s := range p.h.machines[m.ID].slots {
-		if s.booked() && s.stop {
+		if s.booked() && s.stop != "" {
 			free = free.Plus(s.need)
 		}
 	}
@@ -125,7 +125,7 @@
 	for _, e := range evictions {
 		for _, s := range e.stops {
 			p.h.Log.Info("task is stopped for work of a higher rank", "task", s.task.String(), "attempt", s.attempt, "machine", e.machine, "for", j.ID)
-			p.h.end(s)
+			p.h.end(s, stopForHigher)
 			p.stops++
 		}
 	}
@@ -193,7 +193,7 @@
 	for _, s := range m.list() {
 		if j := h.jobs[s.task.Job]; h.yields(s, placement.Rank(api.RankStandard), now) && !capacity.Timed(h.Config.Aims, j.spec) {
 			h.Log.Info("task is stopped, its machine is asked back", "task", s.task.String(), "attempt", s.attempt, "machine", m.id)
-			h.end(s)
+			h.end(s, stopMachineDue)
 		}
 	}
 }
@@ -206,11 +206,11 @@
 	}
 	for _, s := range m.slots {
 		j := h.jobs[s.task.Job]
-		if j == nil || j.gang() || s.stop || s.state != present || s.view != api.TaskRunning || j.spec.CheckpointS <= 0 {
+		if j == nil || j.gang() || s.stop != "" || s.state != present || s.view != api.TaskRunning || j.spec.CheckpointS <= 0 {
 			continue
 		}
 		if m.notice.Sub(now) < core.Seconds(j.spec.SaveS)+h.Config.Workers.Report*5/4+saveSlack {
-			h.end(s)
+			h.end(s, stopMachineEnd)
 		}
 	}
 }
--- a/internal/block/prompt.go
+++ b/internal/block/prompt.go
@@ -68,7 +68,7 @@
 	h.Workers.Fence(m.addr, m.term, m.season, func(rep *api.Report) {
 		m.asking = false
 		if rep != nil && h.state != released && h.machines[m.id] == m && core.MachineID(rep.Machine) == m.id {
-			h.take(m, rep, false, now)
+			h.take(m, rep, evidence{fromAnswer, now})
 		}
 	})
 }
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -34,26 +34,27 @@
 	return d
 }
 
-// take brings what we know of a machine in line with a report. asked is when
-// the message was requested (direct) or received (report). It tells whether
-// the report was news.
-func (h *Holder) take(m *machine, rep *api.Report, viaReport bool, asked core.Time) bool {
+// take brings what we know of a machine in line with a message of its worker. It tells
+// whether the message was news.
+func (h *Holder) take(m *machine, rep *api.Report, from evidence) bool {
 	now := h.Loop.Now()
 	season, tally := core.Season(rep.Season), core.Tally(rep.Tally)
 	if season <= m.floor || !core.Newer(season, tally, m.season, m.tally) {
+		h.noteMessage(m, from.source, messageOld, season, tally)
 		return false
 	}
+	h.noteMessage(m, from.source, messageTaken, season, tally)
 	if season > m.season {
 		h.takeNewSeason(m)
 	}
 	m.season, m.tally, m.heard = season, tally, now
-	if !viaReport && (m.reported == 0 || now.Sub(m.reported) < h.quiet()) {
+	if from.source == fromAnswer && (m.reported == 0 || now.Sub(m.reported) < h.quiet()) {
 		// It answered a command. One whose reports reach nobody gets no work either: it
 		// cannot be told to start it, and was planned for again and again.
 		h.setUnreachable(m, false)
 	}
 	h.takeNotice(m, rep.NoticeS)
-	h.takeTasks(m, rep, viaReport, asked)
+	h.takeTasks(m, rep, from)
 	if core.Term(rep.Term) >= h.term && !m.fenced {
 		// It has seen our term: no command of an earlier holder counts any more.
 		m.fenced = true
@@ -80,7 +81,7 @@
 	}
 	for _, s := range m.list() {
 		if s.state != planned {
-			h.setOff(s, "worker's lease ran out")
+			h.setOff(s, releaseNewSession)
 		}
 	}
 	m.images = map[string]bool{}
@@ -101,7 +102,7 @@
 
 // takeTasks takes in the tasks of a report: what it shows, and what it proves to be off the
 // machine by not showing it.
-func (h *Holder) takeTasks(m *machine, rep *api.Report, viaReport bool, asked core.Time) {
+func (h *Holder) takeTasks(m *machine, rep *api.Report, from evidence) {
 	shown := map[slotKey]bool{}
 	// What is on the machine is taken in before what has left it, so that nothing is missing
 	// from the picture in between.
@@ -116,19 +117,19 @@
 			}
 			key := slotKey{id, core.Attempt(view.Attempt)}
 			shown[key] = true
-			h.see(m, key, view)
+			h.see(m, key, view, from)
 		}
 	}
 	for _, s := range m.list() {
 		switch {
 		case shown[s.slotKey] || s.state == planned:
 		case s.state != starting:
-			h.setOff(s, "")
-		case h.startSettled(s, rep, viaReport, asked):
-			if viaReport {
+			h.setOff(s, releaseNotShown)
+		case h.startSettled(s, rep, from):
+			if from.source == fromReport {
 				h.setUnreachable(m, true)
 			}
-			h.setOff(s, "start was not executed")
+			h.setOff(s, releaseNotExecuted)
 		}
 	}
 }
@@ -136,11 +137,11 @@
 // startSettled tells whether a message that does not show a start proves that it was not
 // executed. A start sent in an answer is settled by the next report, since a worker has one
 // report in flight; a direct message says so only once the answer would have been dropped.
-func (h *Holder) startSettled(s *slot, rep *api.Report, viaReport bool, asked core.Time) bool {
-	if viaReport && core.Newer(core.Season(rep.Season), core.Tally(rep.Tally), s.sentSeason, s.sentTally) {
+func (h *Holder) startSettled(s *slot, rep *api.Report, from evidence) bool {
+	if from.source == fromReport && core.Newer(core.Season(rep.Season), core.Tally(rep.Tally), s.sentSeason, s.sentTally) {
 		return true
 	}
-	return asked > s.sentAt.Add(core.Stretch(answerDrop)+margin)
+	return from.asked > s.sentAt.Add(core.Stretch(answerDrop)+margin)
 }
 
 // setUnreachable notes whether what we say reaches a machine. One that reports but does
@@ -160,7 +161,7 @@
 }
 
 // see takes in one task of a report.
-func (h *Holder) see(m *machine, key slotKey, view api.TaskView) {
+func (h *Holder) see(m *machine, key slotKey, view api.TaskView, from evidence) {
 	j := h.jobs[key.task.Job]
 	if j != nil && key.task.Index >= j.spec.Tasks {
 		j = nil
@@ -168,7 +169,7 @@
 	s := m.slots[key]
 	switch {
 	case s == nil:
-		s = h.discover(m, key, view, j)
+		s = h.discover(m, key, view, j, from)
 	case s.state == exited:
 		return
 	}
@@ -187,7 +188,7 @@
 }
 
 // discover books an attempt that a report shows and nobody told us of.
-func (h *Holder) discover(m *machine, key slotKey, view api.TaskView, j *job) *slot {
+func (h *Holder) discover(m *machine, key slotKey, view api.TaskView, j *job, from evidence) *slot {
 	now := h.Loop.Now()
 	s := &slot{slotKey: key, machine: m, state: present, ends: now}
 	if e := h.Mirror.Jobs[key.task.Job]; e != nil {
@@ -199,8 +200,13 @@
 	if view.State == api.TaskExited {
 		s.state = exited
 	}
+	var others []*slot
+	if j != nil {
+		others = slices.Clone(j.attempts.byTask[key.task.Index])
+	}
 	h.book(s)
 	h.dirty = true
+	h.noteLearnt(s, from, others)
 	if j != nil && s.booked() {
 		h.dropPlansFor(j, key.task.Index)
 	}
@@ -211,7 +217,7 @@
 func (h *Holder) dropPlansFor(j *job, task int) {
 	for _, s := range slices.Clone(j.attempts.byTask[task]) {
 		if s.state == planned {
-			h.setOff(s, "")
+			h.setOff(s, releasePlanDropped)
 		}
 	}
 }
--- a/internal/block/slot.go
+++ b/internal/block/slot.go
@@ -40,9 +40,9 @@
 	sentSeason core.Season
 	sentTally  core.Tally
 
-	ends    core.Time // by estimate
-	stop    bool      // it is to be stopped
-	stopped core.Time // when the first stop was sent; 0: none
+	ends    core.Time  // by estimate
+	stop    stopReason // why it is to be stopped, also if its job goes on
+	stopped core.Time  // when the first stop was sent; 0: none
 	grace   float64
 	since   core.Time // when it was first seen running
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -13,6 +13,7 @@
 
 	"lichenstair/api"
 	"lichenstair/internal/core"
+	"lichenstair/internal/metrics"
 	"lichenstair/internal/node"
 )
 
@@ -69,9 +70,20 @@
 		id := core.JobID(append([]byte{}, c.Params("id")...))
 		return func(r node.Reply) { n.Cancel(id, r) }
 	}))
+	s.app.Get("/metrics", s.metrics)
 	return s
 }
 
+// metrics answers with the controller's metrics. It needs no turn of the loop.
+func (s *Server) metrics(c *fiber.Ctx) error {
+	text, err := s.node.Metrics().Text()
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, metrics.ContentType)
+	return c.Send(text)
+}
+
 // failed answers what never reached a handler. A body that is too large or
 // cannot be read is the sender's mistake.
 func failed(c *fiber.Ctx, err error) error {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -88,6 +88,9 @@
 	return l
 }
 
+// Term returns the term under which we lead.
+func (l *Leader) Term() core.Term { return l.record.Record.Term }
+
 // Version returns the version of the leader key under which it acts.
 func (l *Leader) Version() core.Revision { return l.record.Version }
 
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,32 @@
+package metrics
+
+import (
+	"strings"
+	"testing"
+)
+
+// What is counted is what a reader of the text finds, under the names of docs/operations.md.
+func TestText(t *testing.T) {
+	m := New()
+	m.Reports.WithLabelValues("report", "taken").Add(3)
+	m.Stops.WithLabelValues("superseded").Inc()
+	m.Duplicates.Inc()
+	m.BlockTerm.WithLabelValues("2").Set(26)
+	m.ProofAge.Set(0.25)
+	text, err := m.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{
+		`lichenstair_worker_messages_total{result="taken",source="report"} 3`,
+		`lichenstair_stops_total{reason="superseded"} 1`,
+		`lichenstair_attempts_duplicate_total 1`,
+		`lichenstair_starts_total 0`,
+		`lichenstair_block_term{block="2"} 26`,
+		`lichenstair_state_proof_age_seconds 0.25`,
+	} {
+		if !strings.Contains(string(text), "\n"+line+"\n") {
+			t.Errorf("%s is missing in\n%s", line, text)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"lichenstair/api"
@@ -14,6 +15,7 @@
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
 	"lichenstair/internal/leader"
+	"lichenstair/internal/metrics"
 	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
 	"lichenstair/internal/worker"
@@ -29,6 +31,7 @@
 	mirror  *state.Mirror
 	cloud   *cloud.Client
 	workers *worker.Client
+	metrics *metrics.Metrics
 
 	membership membership
 	tenure     core.Tenure
@@ -68,6 +71,7 @@
 	n.mirror = state.NewMirror(loop, n.state, log)
 	n.cloud = cloud.NewClient(loop, call, cfg.Cloud, cfg.CloudLim)
 	n.workers = worker.NewClient(call)
+	n.metrics = metrics.New()
 	n.prober = worker.NewProber(n.workers, maxProbes)
 	n.mirror.Changed = n.changed
 	return n
@@ -117,6 +121,21 @@
 	for _, num := range core.Keys(n.holders) {
 		n.holders[num].Tick()
 	}
+	n.measure()
+}
+
+// Metrics returns the controller's metrics.
+func (n *Node) Metrics() *metrics.Metrics { return n.metrics }
+
+// measure brings the metrics of roles and of the state service in line with what is so now.
+func (n *Node) measure() {
+	term := core.Term(0)
+	if n.leader != nil {
+		term = n.leader.Term()
+	}
+	n.metrics.LeaderTerm.Set(float64(term))
+	n.metrics.StateRevision.Set(float64(n.mirror.Revision()))
+	n.metrics.ProofAge.Set(n.contact().Seconds())
 }
 
 // changed takes in what has changed in the mirror.
@@ -160,14 +179,16 @@
 		if !ok || b.Record.Term != h.Term() || b.Record.Holder != n.cfg.Host {
 			h.Release()
 			delete(n.holders, num)
+			n.metrics.BlockTerm.DeleteLabelValues(strconv.Itoa(num))
 		}
 	}
 	for _, num := range core.Keys(n.mirror.Blocks) {
 		b := n.mirror.Blocks[num]
 		if n.holders[num] == nil && n.tenure != 0 && b.Record.Holder == n.cfg.Host && b.Record.Tenure == n.tenure {
 			n.holders[num] = block.New(block.Env{
-				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types, Kept: n.kept, Policy: n.Policy,
+				Loop: n.loop, Log: n.log, Config: n.cfg, Host: n.cfg.Host, Mirror: n.mirror, State: n.state, Workers: n.workers, Types: n.types, Kept: n.kept, Policy: n.Policy, Metrics: n.metrics,
 			}, b.Record)
+			n.metrics.BlockTerm.WithLabelValues(strconv.Itoa(num)).Set(float64(b.Record.Term))
 		}
 	}
 }
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -53,6 +53,7 @@
 // parked is a report from a machine that belongs to no block at the moment.
 type parked struct {
 	rep   *api.Report
+	since core.Time
 	due   core.Time
 	doubt core.Time // until when a holder that is only doubtful is waited for
 	reply Reply
@@ -70,7 +71,8 @@
 		return
 	}
 	now := n.loop.Now()
-	n.parked = append(n.parked, parked{rep, now.Add(n.cfg.Workers.Hold()), now.Add(doubtTime), reply})
+	n.parked = append(n.parked, parked{rep, now, now.Add(n.cfg.Workers.Hold()), now.Add(doubtTime), reply})
+	n.log.Debug("report waits for its machine's holder", "machine", rep.Machine, "season", rep.Season, "tally", rep.Tally)
 	n.loop.After(doubtTime, n.unpark)
 	n.loop.After(n.cfg.Workers.Hold(), n.unpark)
 	n.unpark()
@@ -88,6 +90,7 @@
 		case !ok && now < p.due && (n.leader != nil || n.mirror.Inventory(state.PoolInventory).VersionOf(id) != 0):
 			n.parked = append(n.parked, p)
 		case ok && n.holders[num] != nil:
+			n.log.Debug("report is handed to its machine's holder", "machine", id, "block", num, "season", p.rep.Season, "tally", p.rep.Tally, "waited", now.Sub(p.since).String())
 			n.holders[num].Report(p.rep, func(a api.ReportAnswer, ok bool) {
 				if ok {
 					p.reply(Answer{Status: 200, Body: a})
--- a/internal/state/proof.go
+++ b/internal/state/proof.go
@@ -16,6 +16,9 @@
 // Shows tells whether the mirror shows everything up to a revision.
 func (m *Mirror) Shows(r core.Revision) bool { return m.complete && m.ring >= r }
 
+// Revision returns the revision that the mirror has reached.
+func (m *Mirror) Revision() core.Revision { return m.ring }
+
 // Contact returns a time up to which the mirror is known to show everything.
 func (m *Mirror) Contact() (core.Time, bool) { return m.fresh, m.hasFresh }
 
