Simulation: tasks stopped for nothing are a breach; old reports reach the next holders

Old reports came for new leaders 50 ms after the election at the earliest, when the machines had answered; attempts were seldom replaced in between; and a running task that was stopped for a mistaken picture broke no rule that was checked. Change: a trouble in which gangs are started again and copies of old reports reach every controller within milliseconds of each grant, drawn like all others; the checker counts a stop without time to save of a task's only attempt.

--- a/internal/sim/checker.go
+++ b/internal/sim/checker.go
@@ -203,6 +203,20 @@
 	}
 }
 
+// Stopped tells that a task on a machine is told to stop with no time to save. Unless its user
+// wants the job cancelled, the task is done, or its gang has lost a member, that throws away
+// work for nothing: the controller takes a task that should run for one that should not.
+func (c *Checker) Stopped(t core.TaskID) {
+	j := c.jobs[string(t.Job)]
+	if j == nil || j.final != "" || j.done[t.Index] || c.cancelWanted(string(t.Job)) || len(c.on[t]) > 1 {
+		return
+	}
+	if j.spec.Form == api.FormGang && j.on < j.spec.Tasks {
+		return
+	}
+	c.fail("needless_stop: %s is told to stop, it is the only attempt and its job goes on", t)
+}
+
 // Off tells that a task is no longer on a machine.
 func (c *Checker) Off(t core.TaskID, machine string) {
 	if _, ok := c.on[t][machine]; !ok {
--- a/internal/sim/combined_faults_test.go
+++ b/internal/sim/combined_faults_test.go
@@ -468,6 +468,15 @@
 			c.Told("req-1", api.PhaseCancelled, c.now)
 			c.Step(c.now + 31*time.Second)
 		}},
+		{"the only attempt of a task is stopped", "needless_stop", func(c *Checker) {
+			c.On(core.TaskID{Job: "req-1"}, Place{ID: "n-1"})
+			c.Stopped(core.TaskID{Job: "req-1"})
+		}},
+		{"a task is stopped whose job is called off", "", func(c *Checker) {
+			c.On(core.TaskID{Job: "req-1"}, Place{ID: "n-1"})
+			c.CancelAsked("req-1")
+			c.Stopped(core.TaskID{Job: "req-1"})
+		}},
 		{"waits beside free capacity", "waits", func(c *Checker) {
 			for s := range 20 {
 				c.Step(time.Duration(2+5*s) * time.Second)
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -17,11 +17,7 @@
 	"history lost":     func(w *World) { w.State.Forget() },
 	"cloud outage":     func(w *World) { w.Cloud.Outage(time.Duration(w.between(5, 40) * float64(time.Second))) },
 	"one node refused": func(w *World) { w.State.Refuse(w.anyHost().name, time.Duration(w.between(5, 60)*float64(time.Second))) },
-	"crash all": func(w *World) {
-		for _, h := range w.Hosts {
-			h.Restart(time.Duration(w.between(0.1, 6) * float64(time.Second)))
-		}
-	},
+	"crash all":        (*World).crashAll,
 	"roll": func(w *World) {
 		for i, h := range w.Hosts {
 			w.In(time.Duration(i)*15*time.Second, func() { h.Restart(3 * time.Second) })
@@ -209,6 +205,16 @@
 		w.KeepReports()
 		w.In(time.Duration(w.between(0.5, 20)*float64(time.Second)), func() { w.leader().Restart(3 * time.Second) })
 	},
+	"attempts change, old reports reach the next holders": func(w *World) {
+		w.KeepReportsForHolders(60 * time.Second)
+		w.In(4*time.Second, func() {
+			for _, m := range w.Cloud.Up() {
+				m.Hang(w.Cfg.Workers.GangPeer + time.Second)
+			}
+		})
+		w.In(25*time.Second, func() { w.anyHost().Restart(3 * time.Second) })
+		w.In(40*time.Second, w.crashAll)
+	},
 	"reports lost": func(w *World) {
 		for _, m := range w.some(1 + w.Rand.IntN(3)) {
 			w.LoseReports(m, time.Duration(w.between(5, 60)*float64(time.Second)))
@@ -282,6 +288,13 @@
 	}
 }
 
+// crashAll ends every controller; each comes back within seconds.
+func (w *World) crashAll() {
+	for _, h := range w.Hosts {
+		h.Restart(time.Duration(w.between(0.1, 6) * float64(time.Second)))
+	}
+}
+
 func (w *World) cutTime() time.Duration {
 	return time.Duration(w.between(1, 50) * float64(time.Second))
 }
--- a/internal/sim/tasks.go
+++ b/internal/sim/tasks.go
@@ -113,6 +113,9 @@
 				t.state, t.saved = api.TaskSaving, true
 				m.in(core.Seconds(t.job.SaveS), func() { m.exit(t, api.CauseHalted) })
 			} else {
+				if o.GraceS == nil || *o.GraceS == 0 {
+					m.w.Check.Stopped(t.id)
+				}
 				m.exit(t, api.CauseHalted)
 			}
 		case api.VerbClear:
