Block: machines, jobs and rounds are written and taken up in functions of one job each

Need: writeMachines, followJob, follow and prune had grown long, with literals of unnamed meaning; a wire name stood in the node's interface.

--- a/internal/block/follow.go
+++ b/internal/block/follow.go
@@ -37,21 +37,7 @@
 		listed[r.ID] = true
 		m := h.machines[r.ID]
 		if m == nil {
-			m = &machine{
-				id: r.ID, addr: r.Addr, typ: r.Type, zone: r.Zone, spot: r.Spot, up: r.Up, joined: now, idle: now,
-				images: map[string]bool{}, slots: map[slotKey]*slot{},
-			}
-			if r.Up {
-				m.state = unsure
-				// Any holder before us may have answered it until its own
-				// time without contact was over.
-				m.answer = now.Add(maxSilence(h.Config.Workers))
-			}
-			m.term = r.Term
-			m.prompted = now
-			h.machines[r.ID] = m
-			h.dirty = true
-			h.fence(m)
+			m = h.addMachine(r, now)
 		}
 		m.up, m.asked, m.lost, m.term = r.Up, r.Asked, r.Lost, max(m.term, r.Term)
 	}
@@ -76,6 +62,34 @@
 	}
 }
 
+// addMachine takes up a machine that has come into the block, and asks what is on it.
+func (h *Holder) addMachine(r state.Machine, now core.Time) *machine {
+	m := &machine{
+		id:       r.ID,
+		addr:     r.Addr,
+		typ:      r.Type,
+		zone:     r.Zone,
+		spot:     r.Spot,
+		up:       r.Up,
+		term:     r.Term,
+		joined:   now,
+		idle:     now,
+		prompted: now,
+		images:   map[string]bool{},
+		slots:    map[slotKey]*slot{},
+	}
+	if r.Up {
+		m.state = unsure
+		// Any holder before us may have answered it until its own time without contact
+		// was over.
+		m.answer = now.Add(maxSilence(h.Config.Workers))
+	}
+	h.machines[r.ID] = m
+	h.dirty = true
+	h.fence(m)
+	return m
+}
+
 // clearMachine takes everything off a machine of which that has been proven.
 func (h *Holder) clearMachine(m *machine, why releaseReason) {
 	for _, s := range m.list() {
@@ -102,19 +116,7 @@
 		if n, ok := h.Mirror.TeamBlock(e.Team); !ok || n != h.number || e.Spec == nil {
 			return
 		}
-		j = &job{
-			id: id, at: e.At, sent: e.At, blocked: true, spec: e.Spec, rank: placement.Rank(e.Spec.Rank), need: placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB},
-			avoid: map[core.MachineID]core.Time{}, failed: map[core.MachineID]bool{}, inherited: h.state == recovering,
-		}
-		h.jobs[id] = j
-		h.Log.Info("job to place", "job", id, "class", j.spec.Class, "team", j.spec.Team, "form", j.spec.Form, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs, "memory_gb", j.spec.MemoryGB, "spot", j.spec.Spot, "image", j.spec.Image, "estimate_s", j.spec.EstimateS, "age_ms", h.Loop.Wall()-j.at)
-		for _, mid := range core.Keys(h.machines) {
-			for _, s := range h.machines[mid].list() {
-				if s.task.Job == id && s.booked() && s.task.Index < j.spec.Tasks {
-					j.attempts.add(s)
-				}
-			}
-		}
+		j = h.addJob(id, e)
 	}
 	// done is final, so the mirror can only be late in showing that the job may run.
 	if at, ok := h.Mirror.ReadyAt(e); ok && j.blocked {
@@ -127,14 +129,46 @@
 	j.rank, j.due = max(j.rank, e.Urgency.Rank), e.Urgency.Due
 	j.done.Union(e.Done)
 	if !j.pending.Empty() {
-		var still core.Set
-		for i := j.pending.NextIn(0); i >= 0; i = j.pending.NextIn(i + 1) {
-			if !e.Done.Has(i) {
-				still.Add(i)
+		j.pending = without(j.pending, e.Done)
+	}
+}
+
+// addJob begins to place a job, with what is known of its attempts.
+func (h *Holder) addJob(id core.JobID, e *state.JobEntry) *job {
+	j := &job{
+		id:        id,
+		at:        e.At,
+		sent:      e.At,
+		blocked:   true,
+		spec:      e.Spec,
+		rank:      placement.Rank(e.Spec.Rank),
+		need:      placement.Need{CPUs: e.CPUs, GPUs: e.GPUs, MemoryGB: e.MemoryGB},
+		avoid:     map[core.MachineID]core.Time{},
+		failed:    map[core.MachineID]bool{},
+		inherited: h.state == recovering,
+	}
+	h.jobs[id] = j
+	h.Log.Info("job to place",
+		"job", id, "class", j.spec.Class, "team", j.spec.Team, "form", j.spec.Form, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs, "memory_gb", j.spec.MemoryGB,
+		"spot", j.spec.Spot, "image", j.spec.Image, "estimate_s", j.spec.EstimateS, "age_ms", h.Loop.Wall()-j.at)
+	for _, machineID := range core.Keys(h.machines) {
+		for _, s := range h.machines[machineID].list() {
+			if s.task.Job == id && s.booked() && s.task.Index < j.spec.Tasks {
+				j.attempts.add(s)
 			}
 		}
-		j.pending = still
 	}
+	return j
+}
+
+// without returns the task numbers of a set that are not in another.
+func without(set, other core.Set) (out core.Set) {
+	for i := set.NextIn(0); i >= 0; i = set.NextIn(i + 1) {
+		if !other.Has(i) {
+			out.Add(i)
+		}
+	}
+	return out
 }
 
 // Cancelled takes in that a job is durably cancelled, before the mirror shows it.
--- a/internal/block/write.go
+++ b/internal/block/write.go
@@ -1,7 +1,6 @@
 package block
 
 import (
-	"encoding/json"
 	"time"
 
 	"lichenstair/api"
@@ -66,43 +65,61 @@
 	now := h.Loop.Now()
 	own, pool := h.Mirror.Inventory(h.number), h.Mirror.Inventory(state.PoolInventory)
 	edit := h.Mirror.Edit(h.Config.StateLim, max(h.batch()/2, 2), h.number+1)
-	for r := range own.All() {
-		m := h.machines[r.ID]
+	for record := range own.All() {
+		m := h.machines[record.ID]
 		if m == nil {
 			continue
 		}
-		if p, ok := pool.Find(r.ID); ok && p.Fate == state.Gone && m.empty() {
-			edit.Remove(h.number, r.ID) // it is gone; the leader forgets it once no block lists it
-			continue
-		}
-		version := own.VersionOf(r.ID)
-		if h.state == placing && m.fenced && h.vacant(m) && !m.lost && !m.unreachable && m.state == live && (m.leaving == version || h.releasable(m, now)) {
-			free := r
-			free.Up, free.Asked, free.Doomed, free.Addr, free.Seen, free.Term = false, false, false, m.addr, h.termOf(m), 0
-			if edit.Move(h.number, state.PoolInventory, free) {
-				h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
-				m.leaving = version
-			}
-			continue
-		}
-		was := r
-		if !m.up && !m.empty() || m.up && m.addr != "" && r.Addr != m.addr {
-			r.Up, r.Addr = true, m.addr
-		}
-		if m.state == lapsed && m.empty() && r.Up {
-			// Nothing can be on it: a later holder need not wait for it.
-			r.Up = false
-			m.lowering = version
-		}
-		r.Lost = r.Lost || h.shouldReturn(m, now)
-		r.Doomed = m.notice != 0 || m.state == lapsed
-		if r != was && edit.Set(h.number, r) && r.Lost != was.Lost {
-			h.Log.Info("machine does not answer; it is to be returned", "machine", m.id, "state", m.state.String())
+		version := own.VersionOf(record.ID)
+		switch p, ok := pool.Find(record.ID); {
+		case ok && p.Fate == state.Gone && m.empty():
+			edit.Remove(h.number, record.ID) // it is gone; the leader forgets it once no block lists it
+		case h.mayLeave(m, version, now):
+			h.release(edit, m, record, version)
+		default:
+			h.writeMachine(edit, m, record, version, now)
 		}
 	}
 	edit.Apply(t)
 }
 
+// mayLeave tells whether a machine may go to the pool, or has been sent there by a write that
+// may still be carried out.
+func (h *Holder) mayLeave(m *machine, version core.Revision, now core.Time) bool {
+	if h.state != placing || !m.fenced || m.lost || m.unreachable || m.state != live || !h.vacant(m) {
+		return false
+	}
+	return m.leaving == version || h.releasable(m, now)
+}
+
+// release moves a machine's record to the pool.
+func (h *Holder) release(edit *state.Edit, m *machine, record state.Machine, version core.Revision) {
+	record.Up, record.Asked, record.Doomed, record.Term = false, false, false, 0
+	record.Addr, record.Seen = m.addr, h.termOf(m)
+	if edit.Move(h.number, state.PoolInventory, record) {
+		h.Log.Info("machine goes to the pool", "machine", m.id, "asked", m.asked)
+		m.leaving = version
+	}
+}
+
+// writeMachine brings the record of a machine that stays in line with what we know of it.
+func (h *Holder) writeMachine(edit *state.Edit, m *machine, record state.Machine, version core.Revision, now core.Time) {
+	was := record
+	if !m.up && !m.empty() || m.up && m.addr != "" && record.Addr != m.addr {
+		record.Up, record.Addr = true, m.addr
+	}
+	if m.state == lapsed && m.empty() && record.Up {
+		// Nothing can be on it: a later holder need not wait for it.
+		record.Up = false
+		m.lowering = version
+	}
+	record.Lost = record.Lost || h.shouldReturn(m, now)
+	record.Doomed = m.notice != 0 || m.state == lapsed
+	if record != was && edit.Set(h.number, record) && record.Lost != was.Lost {
+		h.Log.Info("machine does not answer; it is to be returned", "machine", m.id, "state", m.state.String())
+	}
+}
+
 // vacant tells whether nothing is booked on a machine and nothing is left on it
 // that only this block could still write down.
 func (h *Holder) vacant(m *machine) bool {
@@ -171,89 +188,3 @@
 	}
 	return false
 }
-
-// writeDone adds what has been completed: one record for the tasks of a round,
-// and the final phase of jobs that are complete.
-func (h *Holder) writeDone(t *api.Txn) {
-	room := h.batch() - len(t.Then)
-	size := 0
-	round := state.Round{Done: map[core.JobID]core.Set{}}
-	limit := h.Config.StateLim.ValueBytes - 256
-	for _, id := range core.Keys(h.jobs) {
-		j, e := h.jobs[id], h.Mirror.Jobs[id]
-		if e == nil || e.Over() || j.pending.Empty() && j.done.Len() < j.spec.Tasks {
-			continue
-		}
-		if j.done.Len() >= j.spec.Tasks {
-			if room > 2 {
-				t.If = append(t.If, api.Condition{Key: state.KeyJob(id), Version: uint64(e.Version)})
-				t.Then = append(t.Then, state.Put(state.KeyJob(id), e.Job.End(state.JobDone, h.Loop.Wall())))
-				room--
-			}
-			continue
-		}
-		raw, _ := json.Marshal(j.pending)
-		if size+len(raw)+len(id)+8 > limit {
-			if size == 0 {
-				// Too scattered for one record: as many ranges as fit go first.
-				part := j.pending.Split(limit / 16)[0]
-				round.Done[id] = part
-				size = limit
-			}
-			continue
-		}
-		size += len(raw) + len(id) + 8
-		round.Done[id] = j.pending.Clone()
-	}
-	if len(round.Done) > 0 && room > 0 {
-		h.round++
-		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.term, h.round), round))
-		room--
-	}
-	h.prune(t, room)
-}
-
-// prune removes rounds that speak only of jobs that are over, and melts many
-// small ones into one.
-func (h *Holder) prune(t *api.Txn, room int) {
-	rounds := h.Mirror.Rounds[h.number]
-	if len(rounds) < 8 || room < 4 {
-		return
-	}
-	removed := 0
-	merged := state.Round{Done: map[core.JobID]core.Set{}}
-	size := 0
-	for _, k := range core.Keys(rounds) {
-		if removed >= min(room-1, 12) {
-			break
-		}
-		fits := true
-		add := 0
-		for id, s := range rounds[k].Done {
-			if e := h.Mirror.Jobs[id]; e != nil && !e.Over() {
-				raw, _ := json.Marshal(s)
-				add += len(raw) + len(id) + 8
-			}
-		}
-		if add > 0 && (len(rounds) < maxRounds || size+add > h.Config.StateLim.ValueBytes-256) {
-			fits = false
-		}
-		if !fits {
-			continue
-		}
-		for id, s := range rounds[k].Done {
-			if e := h.Mirror.Jobs[id]; e != nil && !e.Over() {
-				u := merged.Done[id].Clone()
-				u.Union(s)
-				merged.Done[id] = u
-			}
-		}
-		size += add
-		t.Then = append(t.Then, api.Change{Remove: k})
-		removed++
-	}
-	if len(merged.Done) > 0 {
-		h.round++
-		t.Then = append(t.Then, state.Put(state.KeyRound(h.number, h.term, h.round), merged))
-	}
-}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -56,7 +56,7 @@
 	s.app.Get("/ready", s.handle(answerWait, false, func(c *fiber.Ctx) func(node.Reply) { return n.Ready }))
 	s.app.Post("/hello", s.handle(answerWait, true, func(c *fiber.Ctx) func(node.Reply) {
 		body := append([]byte{}, c.Body()...)
-		return func(r node.Reply) { n.Hello(body, r) }
+		return func(r node.Reply) { n.Report(body, r) }
 	}))
 	s.app.Post("/work", s.handle(answerWait, false, func(c *fiber.Ctx) func(node.Reply) {
 		body := append([]byte{}, c.Body()...)
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -8,8 +8,8 @@
 	"lichenstair/internal/state"
 )
 
-// Hello answers a worker's report.
-func (n *Node) Hello(body []byte, reply Reply) {
+// Report answers a worker's report.
+func (n *Node) Report(body []byte, reply Reply) {
 	var rep api.Report
 	if api.Decode(body, &rep) != nil || rep.Machine == "" || rep.Season == 0 || rep.Addr == "" || rep.Type == "" {
 		reply(refuse(400, "not a report", ""))
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -216,7 +216,7 @@
 		case r.Path == "/ready":
 			p.node.Ready(answer)
 		case r.Path == "/hello":
-			p.node.Hello(r.Body, answer)
+			p.node.Report(r.Body, answer)
 		case r.Path == "/work":
 			p.node.Submit(r.Body, answer)
 		case cancel:
