--- a/internal/block/answers.go
+++ b/internal/block/answers.go
@@ -140,10 +140,8 @@
 		return stopNotOurs
 	case j.cancelled:
 		return stopCancelled
-	case h.superseded(j, s):
-		return stopSuperseded
 	}
-	return ""
+	return h.useless(j, s)
 }
 
 // stopReason tells why an attempt on a machine has to stop; empty: it goes on.
--- a/internal/block/attempts.go
+++ b/internal/block/attempts.go
@@ -79,20 +79,24 @@
 	}
 }
 
-// superseded tells whether an attempt is of no use to its job: its task is done, or a newer
-// attempt of it is on a machine as well. While a holder recovers, an attempt that it was
-// shown may be gone already, so none is stopped for the sake of another.
-func (h *Holder) superseded(j *job, s *slot) bool {
+// useless tells why an attempt is of no use to its job: its task is done, or a newer attempt
+// of it is on a machine as well. Empty: it is of use. While a holder recovers, an attempt that
+// it was shown may be gone already, so none is stopped for the sake of another.
+func (h *Holder) useless(j *job, s *slot) stopReason {
 	switch {
 	case s.task.Index >= j.spec.Tasks:
-		return true
+		return stopUnknownTask
+	case j.done.Has(s.task.Index) && j.gang():
+		return "" // a gang's members report by themselves that they are done
 	case j.done.Has(s.task.Index):
-		return !j.gang() // a gang's members report by themselves that they are done
+		return stopTaskDone
 	case h.state != placing:
-		return false
+		return ""
 	}
-	current := j.attempts.current(s.task.Index)
-	return current != nil && current != s && current.state == present
+	if current := j.attempts.current(s.task.Index); current != nil && current != s && current.state == present {
+		return stopSuperseded
+	}
+	return ""
 }
 
 // finish notes that a task has completed.
--- a/internal/block/reasons.go
+++ b/internal/block/reasons.go
@@ -40,10 +40,13 @@
 type stopReason string
 
 const (
-	stopUnknownJob stopReason = "job unknown"
-	stopJobOver    stopReason = "job over"
-	stopCancelled  stopReason = "job cancelled"
-	stopNotOurs    stopReason = "job of another block"
+	stopUnknownJob  stopReason = "job unknown"
+	stopJobOver     stopReason = "job over"
+	stopCancelled   stopReason = "job cancelled"
+	stopNotOurs     stopReason = "job of another block"
+	stopUnknownTask stopReason = "task unknown"
+	// stopTaskDone is mostly said of an attempt that an old report showed and that is gone.
+	stopTaskDone   stopReason = "task done"
 	stopSuperseded stopReason = "superseded"
 	stopGangBroken stopReason = "gang not whole"
 	stopForHigher  stopReason = "work of a higher rank"
