--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -89,3 +89,14 @@
 		Schedule(0, machines, jobs, teams, Policy{})
 	}
 }
+
+// BenchmarkTakenOver schedules a block that has most of a fleet and has just been recovered: 1,500
+// machines with room, and 500 arrays that all differ in size.
+func BenchmarkTakenOver(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		machines, jobs, teams := takenOverBlock(1500, 500)
+		b.StartTimer()
+		Schedule(0, machines, jobs, teams, Policy{})
+	}
+}
