Bound the work of a scheduling pass, which held the event loop for minutes

Callers saw: at 4,000 machines a controller that takes over a large block answers nothing any more, neither questions nor health checks nor reports; its lease expires, the next holder goes the same way, until no controller is left that answers.

Cause: in the backfill, all groups of arrays mostly have the same best machine. A start on it made each of them search all machines again, so a pass grew with groups x machines x starts. With a gang's reservation all arrays are backfilled.

Change: each group keeps its machines in a heap, where a start mends one entry; a pass ends once it has done its work, and the next one goes on where it stopped.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -59,11 +59,13 @@
 	dirty           bool                       // something has changed since the last pass
 	passScheduled   bool                       // a pass is scheduled
 	lastPass        core.Time
-	resumedAt       core.Time // when the process last resumed after a pause
-	reevaluateAt    core.Time // when to run a pass again although nothing has changed
-	writeInFlight   bool      // a write of records has not been confirmed yet
-	allocatingTerms bool      // terms are being allocated
-	reservedTerms   struct {  // terms allocated in advance, to prompt machines with
+	passInterval    time.Duration // least time from the begin of the last pass to that of the next
+	nextGroup       int           // where the next pass goes on, see placement.Result
+	resumedAt       core.Time     // when the process last resumed after a pause
+	reevaluateAt    core.Time     // when to run a pass again although nothing has changed
+	writeInFlight   bool          // a write of records has not been confirmed yet
+	allocatingTerms bool          // terms are being allocated
+	reservedTerms   struct {      // terms allocated in advance, to prompt machines with
 		next, last core.Term // the reserved terms; none if next is above last
 		exhausted  bool      // a machine needs a term and no suitable one is left
 	}
@@ -75,6 +77,7 @@
 	minReportInterval     = 500 * time.Millisecond // least time between two reports of a worker
 	maxStartsPerResponse  = 150                    // start commands in one response
 	minPassInterval       = 150 * time.Millisecond // least time between two passes
+	passSpacing           = 4                      // least time between two passes, in durations of the first
 	writeInterval         = 250 * time.Millisecond // the next write follows half of this after one was confirmed
 	maxCompletionBatches  = 24                     // from this many on, batches with entries of unfinished jobs are merged too
 	maxTxnChanges         = 24                     // changes in one transaction
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -9,19 +9,20 @@
 	"lichenstair/internal/placement"
 )
 
-// schedulePass runs a pass if something has changed, at most once per minPassInterval.
+// schedulePass runs a pass if something has changed, at most once per passInterval.
 func (h *Holder) schedulePass() {
 	now := h.Loop.Now()
 	if !h.dirty || h.state != placing {
 		return
 	}
-	if now.Sub(h.lastPass) >= minPassInterval {
+	interval := max(h.passInterval, minPassInterval)
+	if now.Sub(h.lastPass) >= interval {
 		h.runPass()
 		return
 	}
 	if !h.passScheduled {
 		h.passScheduled = true
-		h.Loop.After(h.lastPass.Add(minPassInterval).Sub(now), func() {
+		h.Loop.After(h.lastPass.Add(interval).Sub(now), func() {
 			h.passScheduled = false
 			h.schedulePass()
 		})
@@ -58,7 +59,8 @@
 	for _, j := range jobs {
 		j.GangMachinesOnly = capacity.GangMachinesOnly(j, types, gangKinds)
 	}
-	result := placement.Schedule(now, machines, jobs, h.teams, h.Policy)
+	result := placement.Schedule(now, machines, jobs, h.teams, h.Policy, h.nextGroup)
+	h.nextGroup, h.dirty = result.NextGroup, h.dirty || result.Unfinished
 	h.preempt(now, jobs, machines, h.teams)
 	for _, start := range result.Starts {
 		h.plan(h.jobs[start.Job], h.machines[start.Machine])
@@ -68,6 +70,10 @@
 	}
 	h.persistInUse()
 	h.answerHeldReports()
+	// A slow processor has to serve others between two passes.
+	h.passInterval = passSpacing * h.Loop.Now().Sub(now)
+	h.Metrics.Passes.Observe(h.Loop.Now().Sub(now).Seconds())
+	h.schedulePass()
 }
 
 // updateTotals sets the machines' resources from their types, as far as those are known.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,6 +58,8 @@
 	Confirmations *prometheus.CounterVec
 	// Watches counts responses to watches by result.
 	Watches *prometheus.CounterVec
+	// Passes measures, in seconds, the scheduling passes, during which the event loop stands still.
+	Passes prometheus.Histogram
 	// Reloads measures, in seconds, how long it took to read all keys, by result.
 	Reloads *prometheus.HistogramVec
 }
@@ -89,10 +91,11 @@
 		ConfirmationStages: histograms("state_confirmation_seconds", "Stages of a proof that what was read is complete.", "stage"),
 		Confirmations:      counters("state_confirmations_total", "Proofs that what was read is complete, by result.", "result"),
 		Watches:            counters("state_watches_total", "Responses to watches, by result.", "result"),
+		Passes:             prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "pass_seconds", Help: "Duration of scheduling passes.", Buckets: secondsBuckets}),
 		Reloads:            histograms("state_reload_seconds", "Time to read all keys, by result.", "result"),
 	}
 	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.Stops, m.Releases, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge,
-		m.Requests, m.LoopWaits, m.QueueDepth, m.StateWaits, m.ConfirmationStages, m.Confirmations, m.Watches, m.Reloads)
+		m.Requests, m.LoopWaits, m.QueueDepth, m.StateWaits, m.ConfirmationStages, m.Confirmations, m.Watches, m.Reloads, m.Passes)
 	return m
 }
 
--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -20,7 +20,7 @@
 
 // backfill starts later jobs beside the reservation: gangs in their order, then arrays by the best
 // pair of task and machine.
-func (p *pass) backfill(jobs []*Job) {
+func (p *pass) backfill(jobs []*Job, firstGroup int) {
 	for _, j := range jobs {
 		if j.Gang && p.hasQuota(j, j.Waiting) {
 			for _, m := range p.placeGang(p.candidates, j, p.besideReservation(j)) {
@@ -28,46 +28,81 @@
 			}
 		}
 	}
-	groups := p.groupArrays(jobs)
-	for {
-		var best *jobGroup
-		for _, g := range groups {
-			if g.stale {
-				p.findMachine(g)
-			}
-			if len(g.jobs) == 0 || !p.hasQuota(g.jobs[0], 1) || g.machine == nil {
-				continue
-			}
-			if best == nil || p.policy.FirstFit && g.positions[0] < best.positions[0] ||
-				!p.policy.FirstFit && (g.rating.better(best.rating) || !best.rating.better(g.rating) && g.positions[0] < best.positions[0]) {
-				best = g
-			}
-		}
+	workEnd := p.work + maxPassWork
+	groups, next := p.rankGroups(p.groupArrays(jobs), firstGroup)
+	for p.work <= workEnd {
+		best, m := p.bestPair(groups)
 		if best == nil {
+			p.result.Unfinished, p.result.NextGroup = next > 0, next
 			return
 		}
-		m := best.machine
 		p.start(best.jobs[0], m)
+		for _, g := range groups {
+			g.ranking.update(m)
+		}
 		if best.jobs[0].Waiting == 0 {
-			best.jobs, best.positions = best.jobs[1:], best.positions[1:]
+			p.nextJob(best)
 		}
-		for _, g := range groups {
-			// A start changes its machine for all groups. A choice of another machine stands unless
-			// this machine has become better.
-			switch {
-			case g == best || g.machine == m:
-				g.stale = true
-			case g.machine != nil:
-				j := g.jobs[0]
-				if j.canRunOn(m, p.besideReservation(j)(m)) && j.AllowsZone(m.Zone, j.TasksByZone) {
-					// Equal ratings are decided by the order of the machines, as in a full search.
-					if r := rate(j, m); r.better(g.rating) || !g.rating.better(r) && m.ID < g.machine.ID {
-						g.machine, g.rating = m, r
-					}
-				}
-			}
+	}
+	p.result.Unfinished, p.result.NextGroup = true, firstGroup
+}
+
+// rankGroups ranks the machines for the job groups from first on, as far as half of the work of a
+// pass allows, and returns these groups. next is where to go on in another pass, 0 if no group is
+// left out at the end.
+func (p *pass) rankGroups(groups []*jobGroup, first int) (ranked []*jobGroup, next int) {
+	if first >= len(groups) {
+		first = 0
+	}
+	limit := p.work + maxPassWork/2
+	for i, g := range groups {
+		// The first job that its team's quota does not admit counts, also in groups that are skipped.
+		if !p.hasQuota(g.jobs[0], 1) || i < first {
+			continue
+		}
+		if p.work >= limit {
+			return ranked, i
+		}
+		g.ranking = p.rankMachines(g.jobs[0], p.besideReservation(g.jobs[0]))
+		if len(g.ranking.entries) > 0 {
+			ranked = append(ranked, g)
 		}
 	}
+	return ranked, 0
+}
+
+// bestPair returns the group and the machine of the best pair of a waiting task and a machine, or
+// nil.
+func (p *pass) bestPair(groups []*jobGroup) (best *jobGroup, on *Machine) {
+	var top rating
+	for _, g := range groups {
+		if len(g.jobs) == 0 || !p.hasQuota(g.jobs[0], 1) {
+			continue
+		}
+		m, r := g.ranking.best()
+		if m == nil {
+			continue
+		}
+		if best == nil || r.better(top) || r == top && g.positions[0] < best.positions[0] {
+			best, on, top = g, m, r
+		}
+	}
+	return best, on
+}
+
+// nextJob goes on to the next job of a group.
+func (p *pass) nextJob(g *jobGroup) {
+	previous := g.jobs[0]
+	g.jobs, g.positions = g.jobs[1:], g.positions[1:]
+	if len(g.jobs) == 0 {
+		return
+	}
+	if next := g.jobs[0]; next.Starvation != NotStarving && next.Estimate < previous.Estimate {
+		// A shorter task may fit beside a gang where the longer one did not.
+		g.ranking = p.rankMachines(next, p.besideReservation(next))
+		return
+	}
+	g.ranking.job = g.jobs[0]
 }
 
 // jobGroup is a group of arrays, in queue order, whose tasks can use the same machines and rate
@@ -77,9 +112,7 @@
 type jobGroup struct {
 	jobs      []*Job
 	positions []int // of the jobs in the queue
-	machine   *Machine
-	rating    rating
-	stale     bool // the machine has to be searched for again
+	ranking   *ranking
 }
 
 // groupKey is what jobs of a group have in common. types holds the allowed types, joined.
@@ -107,7 +140,7 @@
 		}
 		g := byKey[key]
 		if g == nil {
-			g = &jobGroup{stale: true}
+			g = &jobGroup{}
 			byKey[key] = g
 			out = append(out, g)
 		}
@@ -115,11 +148,3 @@
 	}
 	return out
 }
-
-// findMachine finds the best machine for a group's next task.
-func (p *pass) findMachine(g *jobGroup) {
-	g.machine, g.rating, g.stale = nil, rating{}, false
-	if len(g.jobs) > 0 && p.hasQuota(g.jobs[0], 1) {
-		g.machine, g.rating = p.best(g.jobs[0], p.besideReservation(g.jobs[0]))
-	}
-}
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -21,7 +21,7 @@
 		b.StopTimer()
 		machines, jobs, teams := build()
 		b.StartTimer()
-		Schedule(0, machines, jobs, teams, Policy{})
+		Schedule(0, machines, jobs, teams, Policy{}, 0)
 	}
 }
 
@@ -40,7 +40,7 @@
 				jobs = append(jobs, &Job{ID: "gang", Team: "red", Rank: 2, ReadyAt: 1, Need: Resources{CPUs: 60, MemoryGB: 100}, Gang: true, OneZone: true, Tasks: 3, Waiting: 3, Estimate: time.Minute})
 				teams := map[string]*Team{"red": {Quota: Resources{CPUs: 50000}}}
 				b.StartTimer()
-				Schedule(0, machines, jobs, teams, Policy{})
+				Schedule(0, machines, jobs, teams, Policy{}, 0)
 			}
 		})
 	}
@@ -86,7 +86,7 @@
 		}
 		teams := map[string]*Team{"red": {Quota: Resources{CPUs: 5000}}}
 		b.StartTimer()
-		Schedule(0, machines, jobs, teams, Policy{})
+		Schedule(0, machines, jobs, teams, Policy{}, 0)
 	}
 }
 
@@ -97,6 +97,6 @@
 		b.StopTimer()
 		machines, jobs, teams := takenOverBlock(1500, 500)
 		b.StartTimer()
-		Schedule(0, machines, jobs, teams, Policy{})
+		Schedule(0, machines, jobs, teams, Policy{}, 0)
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,6 +51,8 @@
 	Draining bool
 	// Unreliable is set if tasks have failed on the machine recently; it is used last.
 	Unreliable bool
+
+	index int32 // among the candidates of a pass
 }
 
 // full reports whether n more tasks would exceed the machine's bound on tasks.
@@ -97,8 +99,16 @@
 	ReservedJob       core.JobID
 	ReservedAt        core.Time
 	ReservedResources map[core.MachineID]Resources
+	// Unfinished is set if the pass ended early, since it had done enough work for a pass. Another
+	// one should follow, which backfills from the job group NextGroup on.
+	Unfinished bool
+	NextGroup  int
 }
 
+// maxPassWork bounds the work of a pass, in ratings of a machine for a job. The caller's event loop
+// stands still meanwhile.
+const maxPassWork = 200_000
+
 // Policy switches parts of the algorithm off, for comparison in tests and simulations.
 type Policy struct {
 	// FirstFit starts arrays in queue order, each task on the first machine that has room.
@@ -116,6 +126,7 @@
 	candidates []*Machine
 	teams      map[string]*Team
 	result     Result
+	work       int // ratings so far, see maxPassWork
 }
 
 // findCandidates leaves out the machines on which nothing can start in this pass. In a busy block
@@ -130,14 +141,16 @@
 	}
 	for _, m := range p.machines {
 		if !m.full(1) && least.Fits(m.Free()) {
+			m.index = int32(len(p.candidates))
 			p.candidates = append(p.candidates, m)
 		}
 	}
 }
 
 // Schedule decides what can start now. It sorts the jobs, and updates machines, jobs and teams as if
-// the tasks had been started.
-func Schedule(now core.Time, machines []*Machine, jobs []*Job, teams map[string]*Team, policy Policy) Result {
+// the tasks had been started. firstGroup is the NextGroup of the pass before if that was unfinished,
+// else 0.
+func Schedule(now core.Time, machines []*Machine, jobs []*Job, teams map[string]*Team, policy Policy, firstGroup int) Result {
 	p := &pass{now: now, policy: policy, machines: machines, teams: teams}
 	Sort(jobs)
 	p.findCandidates(jobs)
@@ -145,8 +158,12 @@
 	for len(rest) > 0 && p.result.ReservedJob == "" {
 		p.scheduleHead(rest[0])
 		rest = rest[1:]
+		if p.work > maxPassWork && len(p.result.Starts) > 0 {
+			p.result.Unfinished, p.result.NextGroup = true, firstGroup
+			return p.result
+		}
 	}
-	p.backfill(rest)
+	p.backfill(rest, firstGroup)
 	return p.result
 }
 
@@ -176,24 +193,20 @@
 // startArrayTasks starts tasks of an array at the head of the queue, each on its best machine, as
 // long as machines have room. It returns false if the team's quota was exhausted first.
 func (p *pass) startArrayTasks(j *Job) bool {
-	var ranked *ranking
-	if !j.OneZone && !j.SpreadZones && !p.policy.FirstFit {
-		ranked = p.rankMachines(j)
+	if j.Waiting > 0 && !p.hasQuota(j, 1) {
+		return false
 	}
+	ranked := p.rankMachines(j, p.free)
 	for j.Waiting > 0 {
 		if !p.hasQuota(j, 1) {
 			return false
 		}
-		var m *Machine
-		if ranked != nil {
-			m = ranked.best(p)
-		} else {
-			m, _ = p.best(j, p.free)
-		}
+		m, _ := ranked.best()
 		if m == nil {
 			break
 		}
 		p.start(j, m)
+		ranked.update(m)
 	}
 	return true
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -34,7 +34,7 @@
 	long := &Job{ID: "long", Team: "red", ReadyAt: 2, Need: Resources{CPUs: 2, MemoryGB: 1}, Tasks: 1, Waiting: 1, Estimate: time.Minute}
 	short := &Job{ID: "short", Team: "red", ReadyAt: 3, Need: Resources{CPUs: 2, MemoryGB: 1}, Tasks: 1, Waiting: 1, Estimate: 10 * time.Second}
 	beside := &Job{ID: "beside", Team: "red", ReadyAt: 4, Need: Resources{CPUs: 1, MemoryGB: 1}, Tasks: 1, Waiting: 1, Estimate: time.Minute}
-	r := Schedule(0, []*Machine{m}, []*Job{short, beside, long, head}, teams, Policy{})
+	r := Schedule(0, []*Machine{m}, []*Job{short, beside, long, head}, teams, Policy{}, 0)
 	if r.ReservedJob != "head" || r.ReservedAt != core.Time(20*time.Second) {
 		t.Fatalf("%+v", r)
 	}
@@ -51,12 +51,12 @@
 	gang := &Job{ID: "gang", Team: "red", Rank: 2, Need: Resources{CPUs: 30}, Gang: true, Tasks: 1, Waiting: 1}
 	small := &Job{ID: "small", Team: "red", Rank: 1, Need: Resources{CPUs: 1}, Tasks: 30, Waiting: 30}
 	other := &Job{ID: "other", Team: "blue", Rank: 1, Need: Resources{CPUs: 1}, Tasks: 5, Waiting: 5}
-	Schedule(0, []*Machine{newMachine("m", 64, 64)}, []*Job{gang, small, other}, teams, Policy{})
+	Schedule(0, []*Machine{newMachine("m", 64, 64)}, []*Job{gang, small, other}, teams, Policy{}, 0)
 	if gang.Waiting != 1 || small.Waiting != 30 || other.Waiting != 0 {
 		t.Fatal(gang.Waiting, small.Waiting, other.Waiting)
 	}
 	teams["red"] = &Team{Used: Resources{CPUs: 70}, Quota: Resources{CPUs: 100}}
-	Schedule(0, []*Machine{newMachine("m", 64, 64)}, []*Job{gang, small}, teams, Policy{})
+	Schedule(0, []*Machine{newMachine("m", 64, 64)}, []*Job{gang, small}, teams, Policy{}, 0)
 	if gang.Waiting != 0 {
 		t.Fatal("the gang does not start although its team's quota has room")
 	}
@@ -89,7 +89,7 @@
 			}
 			jobs, byID[j.ID] = append(jobs, j), j
 		}
-		res := Schedule(0, machines, jobs, teams, Policy{})
+		res := Schedule(0, machines, jobs, teams, Policy{}, 0)
 		count := map[core.JobID]int{}
 		at := map[core.MachineID]*Machine{}
 		for _, m := range machines {
@@ -196,7 +196,7 @@
 		if tc.gang {
 			small.Tasks = 2
 		}
-		res := Schedule(0, []*Machine{m}, []*Job{large, small}, map[string]*Team{"red": team}, Policy{})
+		res := Schedule(0, []*Machine{m}, []*Job{large, small}, map[string]*Team{"red": team}, Policy{}, 0)
 		if (len(res.Starts) == 1 && res.Starts[0].Job == "small") != tc.starts || len(res.Starts) > 1 {
 			t.Errorf("%s: %v", tc.name, res.Starts)
 		}
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -149,7 +149,7 @@
 		}
 		m1, j1, t1 := build()
 		m2, j2, t2 := build()
-		got, want := Schedule(0, m1, j1, t1, Policy{}), referenceSchedule(0, m2, j2, t2)
+		got, want := Schedule(0, m1, j1, t1, Policy{}, 0), referenceSchedule(0, m2, j2, t2)
 		if !reflect.DeepEqual(got, want) {
 			t.Fatalf("seed %d:\n%+v\n%+v", seed, got, want)
 		}
--- a/internal/placement/rating.go
+++ b/internal/placement/rating.go
@@ -25,39 +25,35 @@
 	return (most/mean - 1) * (1 - mean), mean
 }
 
-// rating orders machines for a job: reliable ones first, then by score, then the fuller machine,
-// then one that has the job's image.
-type rating struct {
-	unreliable   bool
-	score        float64
-	mean         float64
-	imageMissing bool
-}
+// rating orders machines for a job; lower is better: reliable ones first, then by score, then the
+// fuller machine, then one that has the job's image. From the highest bit on it holds: unreliable (1
+// bit), score (31), what is missing to a mean utilization of 1 (31), image missing (1).
+type rating uint64
 
 // better reports whether a is strictly better than b.
-func (a rating) better(b rating) bool {
-	switch {
-	case a.unreliable != b.unreliable:
-		return !a.unreliable
-	case a.score != b.score:
-		return a.score < b.score
-	case a.mean != b.mean:
-		return a.mean > b.mean
-	}
-	return !a.imageMissing && b.imageMissing
-}
+func (a rating) better(b rating) bool { return a < b }
+
+const (
+	ratingPrecision = 1e9 // scores are rounded, so that sums computed in a different order are equal
+	ratingFieldMax  = 1<<31 - 1
+)
 
-// rate rates a machine for a job. Scores are rounded, so that sums computed in a different order
-// compare as equal.
+// rate rates a machine for a job.
 func rate(j *Job, m *Machine) rating {
-	const precision = 1e9
-	s, mean := Score(m, j.Need)
-	return rating{m.Unreliable, math.Round(s * precision), math.Round(mean * precision), !m.Images[j.Image]}
+	score, mean := Score(m, j.Need)
+	out := ratingField(score)<<32 | (ratingFieldMax-ratingField(mean))<<1
+	if m.Unreliable {
+		out |= 1 << 63
+	}
+	if !m.Images[j.Image] {
+		out |= 1
+	}
+	return out
 }
 
-// best returns the candidate with the best rating for one task of an array.
-func (p *pass) best(j *Job, free freeFunc) (*Machine, rating) {
-	return p.bestOf(p.candidates, j, free)
+// ratingField rounds a score or mean to a field of a rating.
+func ratingField(x float64) rating {
+	return rating(min(max(math.Round(x*ratingPrecision), 0), ratingFieldMax))
 }
 
 // bestOf returns the machine with the best rating for one task of an array, or nil.
@@ -68,10 +64,7 @@
 		if !j.canRunOn(m, free(m)) || !j.AllowsZone(m.Zone, j.TasksByZone) {
 			continue
 		}
-		if p.policy.FirstFit {
-			return m, bestRating
-		}
-		if r := rate(j, m); best == nil || r.better(bestRating) {
+		if r := p.rate(j, m); best == nil || r.better(bestRating) {
 			best, bestRating = m, r
 		}
 	}
--- a/internal/placement/work_test.go
+++ b/internal/placement/work_test.go
@@ -31,7 +31,7 @@
 	const questionWaits = 1900 * time.Millisecond
 	machines, jobs, teams := takenOverBlock(300, 100)
 	begun := time.Now()
-	result := Schedule(0, machines, jobs, teams, Policy{})
+	result := Schedule(0, machines, jobs, teams, Policy{}, 0)
 	took := time.Since(begun)
 	if result.ReservedJob != "gang" || len(result.Starts) == 0 {
 		t.Fatalf("%q holds the reservation and %d tasks start, want a reservation of the gang and starts", result.ReservedJob, len(result.Starts))
@@ -41,3 +41,42 @@
 		t.Errorf("a pass over %d machines and %d jobs took %s, want at most %s", len(machines), len(jobs), took, questionWaits)
 	}
 }
+
+// A pass that ends early goes on where it stopped: in the end nothing waits that fits, and groups that
+// find no room do not keep later ones from being examined.
+func TestUnfinishedPassesStartAllThatFits(t *testing.T) {
+	machines, jobs, teams := takenOverBlock(1200, 600)
+	for i, j := range jobs[1:400] {
+		j.Types = []string{fmt.Sprint("missing type ", i)}
+	}
+	firstGroup, passes, starts := 0, 0, 0
+	for unfinished := true; unfinished; passes++ {
+		if passes == 100 {
+			t.Fatal("100 passes did not finish")
+		}
+		result := Schedule(0, machines, jobs, teams, Policy{}, firstGroup)
+		firstGroup, unfinished = result.NextGroup, result.Unfinished
+		starts += len(result.Starts)
+	}
+	unreserved := func(m *Machine) Resources {
+		if m.Total.CPUs >= jobs[0].Need.CPUs {
+			return Resources{} // the gang may have it reserved
+		}
+		return m.Free()
+	}
+	waiting := 0
+	for _, j := range jobs {
+		if j.Gang || j.Waiting == 0 {
+			continue
+		}
+		waiting++
+		p := &pass{machines: machines}
+		if m, _ := p.bestOf(machines, j, unreserved); m != nil {
+			t.Fatalf("job %s waits although machine %s has room", j.ID, m.ID)
+		}
+	}
+	t.Logf("%d starts in %d passes, %d jobs wait", starts, passes, waiting)
+	if passes < 3 || starts < 5000 || waiting < 399 {
+		t.Fatalf("%d starts in %d passes, %d jobs wait: the run does not test what it should", starts, passes, waiting)
+	}
+}
