--- a/internal/sim/realtime.go
+++ b/internal/sim/realtime.go
@@ -47,12 +47,14 @@
 	statePort      = 2379
 	cloudPort      = 8443
 	firstWorker    = 20000
+	// MaxInstances is how many runs of one process can have addresses of their own.
+	MaxInstances = 16
 	// abandonAfter is how long a request is kept that gets no response.
 	abandonAfter = 20 * time.Second
 )
 
 // NewRealWorld makes the controllers of a new world run as processes of a program, with settings
-// and logs in a directory. It fails if the program is missing or an address is in use. Close ends
+// and logs in a directory. instance, below MaxInstances, tells runs of one process apart. It fails if the program is missing or an address is in use. Close ends
 // everything that it started.
 func NewRealWorld(w *World, binary, dir string, instance int) (*RealWorld, error) {
 	info, err := os.Stat(binary)
@@ -64,7 +66,7 @@
 	}
 	r := &RealWorld{
 		w: w, binary: binary, dir: dir, began: time.Now(), posted: make(chan event, 1<<16), failed: make(chan error, 1),
-		network: fmt.Sprintf("127.%d.%d.", 1+os.Getpid()/250%250, (os.Getpid()+7*instance)%250),
+		network: fmt.Sprintf("127.%d.%d.", 1+os.Getpid()/16%250, os.Getpid()%16*16+instance%MaxInstances),
 	}
 	w.real = r
 	for i, h := range w.Hosts {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"lichenstair/internal/sim"
 )
 
 // buildProgram builds the program as it is deployed.
@@ -82,7 +84,7 @@
 
 // A missing program fails at once and by name.
 func TestMissingProgramIsRefused(t *testing.T) {
-	_, err := Play(Options{Controllers: 3, Machines: 20, Faults: time.Second}, 1, "/missing/program", t.TempDir(), 40)
+	_, err := Play(Options{Controllers: 3, Machines: 20, Faults: time.Second}, 1, "/missing/program", t.TempDir(), sim.MaxInstances-2)
 	if err == nil || !strings.Contains(err.Error(), "/missing/program") {
 		t.Fatalf("got %v, want an error that names the program", err)
 	}
@@ -91,12 +93,12 @@
 // A port that is in use fails at once and by its address.
 func TestUsedAddressIsRefused(t *testing.T) {
 	dir, program := t.TempDir(), "/bin/true"
-	first, err := holdAddresses(program, dir, 41)
+	first, err := holdAddresses(program, dir, sim.MaxInstances-1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer first.Close()
-	_, err = Play(Options{Controllers: 3, Machines: 20, Faults: time.Second}, 1, program, dir, 41)
+	_, err = Play(Options{Controllers: 3, Machines: 20, Faults: time.Second}, 1, program, dir, sim.MaxInstances-1)
 	if err == nil || !strings.Contains(err.Error(), "address already in use") || !strings.Contains(err.Error(), "127.") {
 		t.Fatalf("got %v, want an error that names the address in use", err)
 	}
