The mirror reckons its own staleness; what RedistributeWrites says of silent nodes

Holder and Node each reckoned the age of the last proof; a method of the mirror serves both now. The comment of RedistributeWrites said that nodes without a report count as using all of their share; the code takes nothing from them and leaves them out of the division.

--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -102,7 +102,7 @@
 		machines: map[core.MachineID]*machine{}, jobs: map[core.JobID]*job{},
 	}
 	h.Log = env.Log.With("block", rec.Number)
-	h.Log.Info("holder started", "term", rec.Term, "machines", h.Mirror.Inventory(rec.Number).Len(), "teams", rec.Teams, "revision", h.Mirror.Revision(), "proven_ago", h.staleness().String())
+	h.Log.Info("holder started", "term", rec.Term, "machines", h.Mirror.Inventory(rec.Number).Len(), "teams", rec.Teams, "revision", h.Mirror.Revision(), "proven_ago", h.Mirror.Staleness().String())
 	h.syncMachines(rec)
 	for _, id := range core.SortedKeys(h.Mirror.Jobs) {
 		h.syncJob(id)
@@ -151,8 +151,7 @@
 // MayAnswerWorkers reports whether this holder may still answer workers: it holds the block
 // and its mirror was confirmed fresh recently enough.
 func (h *Holder) MayAnswerWorkers() bool {
-	at, ok := h.Mirror.FreshAsOf()
-	return h.state != released && ok && h.Loop.Now().Sub(at) < maxContactAge(h.Config.Workers)
+	return h.state != released && h.Mirror.Staleness() < min(maxContactAge(h.Config.Workers), state.NeverFresh)
 }
 
 // provenHolderAt returns the last time at which the block is proven to have been held by us
@@ -165,15 +164,6 @@
 	return at
 }
 
-// staleness returns how long ago the mirror was last confirmed fresh, or -1 if it never was.
-func (h *Holder) staleness() time.Duration {
-	at, ok := h.Mirror.FreshAsOf()
-	if !ok {
-		return -1
-	}
-	return h.Loop.Now().Sub(at)
-}
-
 // setMachineState changes the state of a machine that is in the block. No other function does
 // so.
 func (h *Holder) setMachineState(m *machine, to machineState) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 	}
 	n.metrics.LeaderTerm.Set(float64(term))
 	n.metrics.StateRevision.Set(float64(n.mirror.Revision()))
-	n.metrics.ProofAge.Set(n.staleness().Seconds())
+	n.metrics.ProofAge.Set(n.mirror.Staleness().Seconds())
 	n.state.ReportQueues()
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -16,8 +16,6 @@
 	// maxStaleness is the staleness from which a node is taken not to reach the state
 	// service.
 	maxStaleness = 4 * time.Second
-	// unknownStaleness is the staleness of a mirror that has never been confirmed fresh.
-	unknownStaleness = time.Hour
 )
 
 // peerHeartbeat is the latest heartbeat of a peer.
@@ -30,7 +28,7 @@
 func (n *Node) sendHeartbeat() {
 	n.loop.After(heartbeatInterval, n.sendHeartbeat)
 	n.shareWriteRate()
-	b := peer.Heartbeat{Host: n.cfg.Host, LeaseID: n.leaseID, Staleness: n.staleness(), WriteRate: uint64(10 * n.state.WriteRate())}
+	b := peer.Heartbeat{Host: n.cfg.Host, LeaseID: n.leaseID, Staleness: n.mirror.Staleness(), WriteRate: uint64(10 * n.state.WriteRate())}
 	for _, num := range core.SortedKeys(n.holders) {
 		b.Blocks = append(b.Blocks, n.holders[num].BlockHint())
 		b.Running = append(b.Running, n.holders[num].RunningHints()...)
@@ -56,15 +54,6 @@
 	n.state.RedistributeWrites(peerRates)
 }
 
-// staleness returns the time since the mirror was last confirmed fresh.
-func (n *Node) staleness() time.Duration {
-	at, ok := n.mirror.FreshAsOf()
-	if !ok {
-		return unknownStaleness
-	}
-	return n.loop.Now().Sub(at)
-}
-
 // HandleFrame handles a frame from another controller.
 func (n *Node) HandleFrame(frame []byte) {
 	if ids, ok := peer.DecodeCancellations(frame); ok {
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -55,15 +55,15 @@
 func (n *Node) updateWithdrawn() {
 	now := n.loop.Now()
 	if n.withdrawn {
-		n.withdrawn = n.staleness() >= maxStaleness && n.peerIsFresh()
+		n.withdrawn = n.mirror.Staleness() >= maxStaleness && n.peerIsFresh()
 		return
 	}
-	if n.staleness() < n.withdrawalStaleness() || !n.peerIsFresh() {
+	if n.mirror.Staleness() < n.withdrawalStaleness() || !n.peerIsFresh() {
 		return
 	}
 	n.withdrawn = true
 	n.withdrawals = append(n.withdrawals, now)
-	n.log.Info("withdrawn from service: cut off from the state service, which others reach", "staleness", n.staleness().String(), "withdrawals", len(n.withdrawals))
+	n.log.Info("withdrawn from service: cut off from the state service, which others reach", "staleness", n.mirror.Staleness().String(), "withdrawals", len(n.withdrawals))
 }
 
 // withdrawalStaleness returns the staleness from which the node withdraws. It doubles with each
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -89,7 +89,8 @@
 // other nodes leave unused. others holds the write rate that each of them last reported, or -1 if
 // it has reported none. Without this, the block with most of the work was limited to its own fifth
 // of the rate while the rest went unused. Every node keeps at least a quarter of its share for
-// bursts, and nodes that have reported nothing count as using all of theirs.
+// bursts. Of a node that has reported nothing, nothing is taken; it does not count among those
+// that divide the rest.
 func (c *Client) RedistributeWrites(others []float64) {
 	idle, busy := 0.0, 1.0
 	for _, used := range others {
--- a/internal/state/proof.go
+++ b/internal/state/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"lichenstair/api"
 	"lichenstair/internal/core"
@@ -24,6 +25,17 @@
 // it never was.
 func (m *Mirror) FreshAsOf() (core.Time, bool) { return m.freshAsOf, m.everFresh }
 
+// NeverFresh is the staleness of a mirror that has never been confirmed fresh.
+const NeverFresh = time.Hour
+
+// Staleness returns the time since the mirror was last confirmed fresh, or NeverFresh.
+func (m *Mirror) Staleness() time.Duration {
+	if !m.everFresh {
+		return NeverFresh
+	}
+	return m.loop.Now().Sub(m.freshAsOf)
+}
+
 // WaitFor calls done(true) once the mirror has reached a revision, or done(false) after
 // revisionTimeout.
 func (m *Mirror) WaitFor(revision core.Revision, done func(bool)) {
