Check each job of a group by its own estimate

Callers saw nothing yet: found on reading the bounded passes again. Whether a starving job may use a machine reserved for gangs depends on its estimate. A group kept its ranking of machines when the next job had a longer one, so a long task could follow a short one there; before the rankings each job searched anew. The ranking is made again whenever the estimate differs. TestNextJobOfAGroupIsCheckedByItsOwnEstimate failed before (both tasks start) and passes; TestScheduleMatchesReference had no such pair.

--- a/internal/placement/backfill.go
+++ b/internal/placement/backfill.go
@@ -97,8 +97,8 @@
 	if len(g.jobs) == 0 {
 		return
 	}
-	if next := g.jobs[0]; next.Starvation != NotStarving && next.Estimate < previous.Estimate {
-		// A shorter task may fit beside a gang where the longer one did not.
+	if next := g.jobs[0]; next.Starvation != NotStarving && next.Estimate != previous.Estimate {
+		// Whether a task fits beside a gang depends on its estimate.
 		g.ranking = p.rankMachines(next, p.besideReservation(next))
 		return
 	}
--- a/internal/placement/work_test.go
+++ b/internal/placement/work_test.go
@@ -80,3 +80,20 @@
 		t.Fatalf("%d starts in %d passes, %d jobs wait: the run does not test what it should", starts, passes, waiting)
 	}
 }
+
+// Jobs of one group may differ in their estimates: a long task must not follow a short one onto a
+// machine that is reserved for gangs and free of them before the long one ends.
+func TestNextJobOfAGroupIsCheckedByItsOwnEstimate(t *testing.T) {
+	m := newMachine("n-1", 8, 32)
+	m.GangReserved, m.GangTaskSize, m.BusyFor = true, Resources{CPUs: 2, MemoryGB: 2}, 50*time.Second
+	head := &Job{ID: "head", Team: "red", Rank: 1, ReadyAt: 1, Need: Resources{CPUs: 64}, Gang: true, Tasks: 1, Waiting: 1}
+	job := func(id core.JobID, estimate time.Duration) *Job {
+		return &Job{ID: id, Team: "red", ReadyAt: 2, Need: Resources{CPUs: 1, MemoryGB: 1}, Tasks: 1, Waiting: 1, Estimate: estimate, Starvation: Starving}
+	}
+	large := newMachine("n-2", 64, 64)
+	large.Booked, large.Releases = Resources{CPUs: 64, MemoryGB: 64}, []Release{{core.Time(time.Second), Resources{CPUs: 64, MemoryGB: 64}}}
+	result := Schedule(0, []*Machine{m, large}, []*Job{head, job("req-1", 10*time.Second), job("req-2", 100*time.Second)}, map[string]*Team{"red": {Quota: Resources{CPUs: 1000}}}, Policy{}, 0)
+	if len(result.Starts) != 1 || result.Starts[0].Job != "req-1" {
+		t.Fatalf("%v start, want only the short task", result.Starts)
+	}
+}
