--- a/cmd/lichenstair/main.go
+++ b/cmd/lichenstair/main.go
@@ -109,6 +109,7 @@
 	var n *node.Node
 	transport := peer.NewTransport(cfg.Peers, func(frame []byte) { loop.Post(func() { n.HandleFrame(frame) }) }, log)
 	n = node.New(cfg, loop, call, transport.Broadcast, log, rnd)
+	loop.OnDequeue = n.Metrics().ObserveLoopQueue
 	server := frontend.New(loop, n, log, conns)
 	log.Info("serving", "bind", cfg.Bind, "version", version, "connections", conns, "calls", calls, "memory_mb", cfg.Limits.MemoryBytes>>20)
 	failed := make(chan error, 1)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -42,11 +42,20 @@
 // are served when both are empty, and first in every eighth iteration.
 type EventLoop struct {
 	start    time.Time
-	reports  chan func()
-	internal chan func()
-	users    chan func()
+	reports  chan queuedCall
+	internal chan queuedCall
+	users    chan queuedCall
 	quit     chan struct{}
 	stopOnce sync.Once
+	// OnDequeue, if set, is called on the loop with the queue from which a callback was taken, how
+	// long it had waited and how many are left.
+	OnDequeue func(queue string, waited time.Duration, left int)
+}
+
+// queuedCall is a callback with the time at which it was queued.
+type queuedCall struct {
+	run      func()
+	queuedAt Time
 }
 
 // NewEventLoop returns a loop for at most conns connections, each of which can have one
@@ -55,7 +64,7 @@
 // been called.
 func NewEventLoop(conns int) *EventLoop {
 	return &EventLoop{
-		start: time.Now(), reports: make(chan func(), conns), internal: make(chan func(), conns), users: make(chan func(), maxQueuedUserRequests), quit: make(chan struct{}),
+		start: time.Now(), reports: make(chan queuedCall, conns), internal: make(chan queuedCall, conns), users: make(chan queuedCall, maxQueuedUserRequests), quit: make(chan struct{}),
 	}
 }
 
@@ -76,21 +85,21 @@
 // called from the loop itself.
 func (l *EventLoop) Post(f func()) {
 	select {
-	case l.internal <- f:
+	case l.internal <- queuedCall{f, l.Now()}:
 	case <-l.quit:
 	}
 }
 
 // PostReport queues f, which handles a report. It returns false if the queue is full, so
 // that callers can refuse a request instead of waiting.
-func (l *EventLoop) PostReport(f func()) bool { return tryPost(l.reports, f) }
+func (l *EventLoop) PostReport(f func()) bool { return l.tryPost(l.reports, f) }
 
 // PostUser is like PostReport, for users' requests and health checks.
-func (l *EventLoop) PostUser(f func()) bool { return tryPost(l.users, f) }
+func (l *EventLoop) PostUser(f func()) bool { return l.tryPost(l.users, f) }
 
-func tryPost(queue chan func(), f func()) bool {
+func (l *EventLoop) tryPost(queue chan queuedCall, f func()) bool {
 	select {
-	case queue <- f:
+	case queue <- queuedCall{f, l.Now()}:
 		return true
 	default:
 		return false
@@ -108,27 +117,45 @@
 		case turn%2 == 1:
 			first, second = second, first
 		}
-		if runNext(first) || runNext(second) {
+		if l.runNext(first) || l.runNext(second) {
 			continue
 		}
 		select {
-		case f := <-l.reports:
-			f()
-		case f := <-l.internal:
-			f()
-		case f := <-l.users:
-			f()
+		case c := <-l.reports:
+			l.execute(l.reports, c)
+		case c := <-l.internal:
+			l.execute(l.internal, c)
+		case c := <-l.users:
+			l.execute(l.users, c)
 		case <-l.quit:
 			return
 		}
 	}
 }
 
+func (l *EventLoop) execute(queue chan queuedCall, c queuedCall) {
+	if l.OnDequeue != nil {
+		l.OnDequeue(l.queueName(queue), l.Now().Sub(c.queuedAt), len(queue))
+	}
+	c.run()
+}
+
+func (l *EventLoop) queueName(queue chan queuedCall) string {
+	switch queue {
+	case l.reports:
+		return "reports"
+	case l.users:
+		return "users"
+	default:
+		return "internal"
+	}
+}
+
 // runNext runs the oldest function of a queue and reports whether there was one.
-func runNext(queue chan func()) bool {
+func (l *EventLoop) runNext(queue chan queuedCall) bool {
 	select {
-	case f := <-queue:
-		f()
+	case c := <-queue:
+		l.execute(queue, c)
 		return true
 	default:
 		return false
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -25,6 +25,7 @@
 	log      *slog.Logger
 	slots    chan struct{} // one for each request in progress, other than reports
 	maxConns int           // maximum number of connections
+	stats    requestStats
 }
 
 const (
@@ -41,7 +42,7 @@
 
 // New returns a server with at most conns connections.
 func New(loop *core.EventLoop, n *node.Node, log *slog.Logger, conns int) *Server {
-	s := &Server{loop: loop, node: n, log: log, slots: make(chan struct{}, 256), maxConns: conns}
+	s := &Server{loop: loop, node: n, log: log, slots: make(chan struct{}, 256), maxConns: conns, stats: requestStats{metrics: n.Metrics()}}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             api.MaxBody,
@@ -53,20 +54,20 @@
 		DisableDefaultDate:    true,
 		ErrorHandler:          errorHandler,
 	})
-	s.app.Get("/ready", s.handle(requestTimeout, false, func(c *fiber.Ctx) func(node.Reply) { return n.Ready }))
-	s.app.Post("/hello", s.handle(requestTimeout, true, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Get("/ready", s.handle(kindHealth, requestTimeout, func(c *fiber.Ctx) func(node.Reply) { return n.Ready }))
+	s.app.Post("/hello", s.handle(kindReport, requestTimeout, func(c *fiber.Ctx) func(node.Reply) {
 		body := append([]byte{}, c.Body()...)
 		return func(r node.Reply) { n.HandleReport(body, r) }
 	}))
-	s.app.Post("/work", s.handle(requestTimeout, false, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Post("/work", s.handle(kindSubmission, requestTimeout, func(c *fiber.Ctx) func(node.Reply) {
 		body := append([]byte{}, c.Body()...)
 		return func(r node.Reply) { n.Submit(body, r) }
 	}))
-	s.app.Get("/work/:id", s.handle(pollTimeout, false, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Get("/work/:id", s.handle(kindPoll, pollTimeout, func(c *fiber.Ctx) func(node.Reply) {
 		id := core.JobID(append([]byte{}, c.Params("id")...))
 		return func(r node.Reply) { n.GetJob(id, r) }
 	}))
-	s.app.Post("/work/:id/cancel", s.handle(requestTimeout, false, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Post("/work/:id/cancel", s.handle(kindCancellation, requestTimeout, func(c *fiber.Ctx) func(node.Reply) {
 		id := core.JobID(append([]byte{}, c.Params("id")...))
 		return func(r node.Reply) { n.Cancel(id, r) }
 	}))
@@ -97,12 +98,15 @@
 	return c.Status(status).JSON(api.Error{Error: err.Error()})
 }
 
-// handle runs a request on the node's event loop. Urgent requests (reports) take precedence and
-// need no slot.
-func (s *Server) handle(wait time.Duration, urgent bool, prepare func(*fiber.Ctx) func(node.Reply)) fiber.Handler {
+// handle runs a request on the node's event loop. Reports take precedence and need no slot.
+func (s *Server) handle(kind requestKind, wait time.Duration, prepare func(*fiber.Ctx) func(node.Reply)) fiber.Handler {
 	return func(c *fiber.Ctx) error {
 		received := s.loop.Now()
-		if !urgent {
+		respond := func(outcome requestOutcome, a node.Response) error {
+			s.stats.observe(kind, outcome, s.loop.Now().Sub(received))
+			return writeResponse(c, a)
+		}
+		if kind != kindReport {
 			if s.nearConnLimit() {
 				// Idle connections of users must not keep workers from connecting.
 				c.Context().SetConnectionClose()
@@ -111,35 +115,42 @@
 			case s.slots <- struct{}{}:
 				defer func() { <-s.slots }()
 			default:
-				return respondOverloaded(c)
+				return respond(outcomeNoSlot, overloaded)
 			}
 		}
 		work := prepare(c)
 		done := make(chan node.Response, 1)
+		expiredInQueue := false
 		run := func() {
 			if s.loop.Now().Sub(received) > wait {
+				expiredInQueue = true
 				done <- overloaded
 				return
 			}
 			work(func(a node.Response) { done <- a })
 		}
 		post := s.loop.PostUser
-		if urgent {
+		if kind == kindReport {
 			post = s.loop.PostReport
 		}
 		if !post(run) {
-			return respondOverloaded(c)
+			return respond(outcomeQueueFull, overloaded)
 		}
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
 		case a := <-done:
-			if a.ExpiresAt > 0 && s.loop.Now() > a.ExpiresAt {
-				return respondOverloaded(c)
+			switch {
+			case expiredInQueue:
+				return respond(outcomeExpiredInQueue, a)
+			case a.ExpiresAt > 0 && s.loop.Now() > a.ExpiresAt:
+				return respond(outcomeOutdated, overloaded)
+			case a.Status == fiber.StatusServiceUnavailable || a.Status == fiber.StatusTooManyRequests:
+				return respond(outcomeRefused, a)
 			}
-			return writeResponse(c, a)
+			return respond(outcomeAnswered, a)
 		case <-timer.C:
-			return respondOverloaded(c)
+			return respond(outcomeExpired, overloaded)
 		}
 	}
 }
@@ -151,8 +162,6 @@
 
 var overloaded = node.Response{Status: 503, Body: api.Error{Error: "overloaded"}, RetryAfter: time.Second}
 
-func respondOverloaded(c *fiber.Ctx) error { return writeResponse(c, overloaded) }
-
 func writeResponse(c *fiber.Ctx, a node.Response) error {
 	if a.RetryAfter > 0 {
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
@@ -166,4 +175,16 @@
 }
 
 // Serve serves requests on a listener.
-func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
+func (s *Server) Serve(ln net.Listener) error {
+	go s.logUnanswered()
+	return s.app.Listener(ln)
+}
+
+// logUnanswered logs periodically how many requests were not answered, by kind and outcome.
+func (s *Server) logUnanswered() {
+	for range time.Tick(summaryInterval) {
+		if summary := s.stats.summary(); summary != "" {
+			s.log.Info("requests without an answer", "interval", summaryInterval.String(), "counts", summary, "connections", s.app.Server().GetOpenConnectionsCount(), "slots", len(s.slots))
+		}
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
@@ -39,8 +40,32 @@
 	StateRevision prometheus.Gauge
 	// ProofAge is the time, in seconds, since the mirror was last confirmed fresh.
 	ProofAge prometheus.Gauge
+
+	// Requests measures, in seconds, how long requests took, by kind (poll, submission,
+	// cancellation, health, report) and outcome.
+	Requests *prometheus.HistogramVec
+	// LoopWaits measures, in seconds, how long callbacks waited for the event loop, by queue.
+	LoopWaits *prometheus.HistogramVec
+	// QueueDepth is the number of entries of a queue of the event loop or the state client.
+	QueueDepth *prometheus.GaugeVec
+	// StateWaits measures, in seconds, how long requests to the state service waited for the rate
+	// limits, by class.
+	StateWaits *prometheus.HistogramVec
+	// ConfirmationStages measures, in seconds, the stages of a confirmation of freshness: queued, in
+	// flight, catching up.
+	ConfirmationStages *prometheus.HistogramVec
+	// Confirmations counts confirmations of freshness by result.
+	Confirmations *prometheus.CounterVec
+	// Watches counts responses to watches by result.
+	Watches *prometheus.CounterVec
+	// Reloads measures, in seconds, how long it took to read all keys, by result.
+	Reloads *prometheus.HistogramVec
 }
 
+// secondsBuckets are the histogram buckets of durations that matter to a caller who waits for
+// seconds.
+var secondsBuckets = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 1.9, 2.5, 5, 10, 30}
+
 // New returns a set of metrics, all zero.
 func New() *Metrics {
 	m := &Metrics{
@@ -56,11 +81,27 @@
 		BlockTerm:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "block_term", Help: "Term under which the controller holds a block."}, []string{"block"}),
 		StateRevision: gauge("state_revision", "Revision of the state service that the controller has read."),
 		ProofAge:      gauge("state_proof_age_seconds", "How long ago what was read was last proven complete."),
+
+		Requests:           histograms("request_seconds", "Requests of users, workers and health checks, by kind and outcome.", "kind", "outcome"),
+		LoopWaits:          histograms("loop_wait_seconds", "Time that callbacks waited for the event loop, by queue.", "queue"),
+		QueueDepth:         prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "queue_depth", Help: "Entries of a queue."}, []string{"queue"}),
+		StateWaits:         histograms("state_wait_seconds", "Time that requests to the state service waited for the rate limits, by class.", "class"),
+		ConfirmationStages: histograms("state_confirmation_seconds", "Stages of a proof that what was read is complete.", "stage"),
+		Confirmations:      counters("state_confirmations_total", "Proofs that what was read is complete, by result.", "result"),
+		Watches:            counters("state_watches_total", "Responses to watches, by result.", "result"),
+		Reloads:            histograms("state_reload_seconds", "Time to read all keys, by result.", "result"),
 	}
-	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.Stops, m.Releases, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge)
+	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.Stops, m.Releases, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge,
+		m.Requests, m.LoopWaits, m.QueueDepth, m.StateWaits, m.ConfirmationStages, m.Confirmations, m.Watches, m.Reloads)
 	return m
 }
 
+// ObserveLoopQueue records that a callback left a queue of the event loop.
+func (m *Metrics) ObserveLoopQueue(queue string, waited time.Duration, left int) {
+	m.LoopWaits.WithLabelValues(queue).Observe(waited.Seconds())
+	m.QueueDepth.WithLabelValues(queue).Set(float64(left))
+}
+
 func counter(name, help string) prometheus.Counter {
 	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
 }
@@ -69,6 +110,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: secondsBuckets}, labels)
+}
+
 func gauge(name, help string) prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,11 +66,11 @@
 // New returns a node, which Start starts. broadcast sends a frame to the other controllers.
 func New(cfg *config.Config, loop core.Loop, call core.Caller, broadcast func([]byte), log *slog.Logger, rnd *rand.Rand) *Node {
 	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]peerHeartbeat{}, misrouted: map[core.MachineID]misroutedReport{}, observedGrants: map[int]observedGrant{}}
-	n.state = state.NewClient(loop, call, cfg.State, cfg.StateLimits, cfg.Nodes)
+	n.metrics = metrics.New()
+	n.state = state.NewClient(loop, call, n.metrics, cfg.State, cfg.StateLimits, cfg.Nodes)
 	n.mirror = state.NewMirror(loop, n.state, log)
 	n.cloud = cloud.NewClient(loop, call, cfg.Cloud, cfg.CloudLimits)
 	n.workers = worker.NewClient(call)
-	n.metrics = metrics.New()
 	n.prober = worker.NewProber(n.workers, maxProbes)
 	n.mirror.OnChange = n.onChange
 	return n
@@ -139,6 +139,7 @@
 	n.metrics.LeaderTerm.Set(float64(term))
 	n.metrics.StateRevision.Set(float64(n.mirror.Revision()))
 	n.metrics.ProofAge.Set(n.staleness().Seconds())
+	n.state.ReportQueues()
 }
 
 // onChange handles changes of the mirror.
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -11,6 +11,7 @@
 	"lichenstair/api"
 	"lichenstair/internal/config"
 	"lichenstair/internal/core"
+	"lichenstair/internal/metrics"
 )
 
 // Outcome is the result of a transaction as far as the client knows it.
@@ -51,6 +52,7 @@
 type Client struct {
 	loop        core.Loop
 	call        core.Caller
+	metrics     *metrics.Metrics
 	addr        string
 	requests    *bucket
 	writes      *bucket
@@ -72,10 +74,10 @@
 
 // NewClient returns a client for one of nodes controllers, each of which gets an equal share of
 // 90 % of the limits.
-func NewClient(loop core.Loop, call core.Caller, addr string, limits config.StateLimits, nodes int) *Client {
+func NewClient(loop core.Loop, call core.Caller, metrics *metrics.Metrics, addr string, limits config.StateLimits, nodes int) *Client {
 	share := 0.9 / float64(nodes)
 	return &Client{
-		loop: loop, call: call, addr: addr, fairRate: limits.WriteRPS * share,
+		loop: loop, call: call, metrics: metrics, addr: addr, fairRate: limits.WriteRPS * share,
 		requests: newBucket(loop, limits.RPS*share), writes: newBucket(loop, limits.WriteRPS*share),
 	}
 }
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -34,6 +34,7 @@
 	revision       core.Revision // revision up to which all changes were applied
 	targetRevision core.Revision // a watch opened below this revision does not block
 	loadCount      int           // how often all keys were read
+	loadStarted    core.Time     // when the load in progress, or the last one, began
 	// catchingUp: a non-blocking watch is in flight.
 	catchingUp bool
 	epoch      int // incremented with each phase; callbacks of earlier epochs are ignored
@@ -79,7 +80,8 @@
 	// catchUpAfter is how long after a confirmation request is answered the watch may take to
 	// deliver its revision before a non-blocking watch is opened.
 	catchUpAfter            = time.Second
-	maxPendingConfirmations = 500 // calls of ConfirmFresh that may wait for the next confirmation
+	manyEvents              = 2000 // changes in a watch response that are worth a log line
+	maxPendingConfirmations = 500  // calls of ConfirmFresh that may wait for the next confirmation
 )
 
 // NewMirror returns an empty mirror; Start fills it.
@@ -111,6 +113,7 @@
 	m.epoch++
 	switch p {
 	case loading:
+		m.loadStarted = m.loop.Now()
 		m.loadPage("", m.epoch, nil)
 	case watching:
 		m.watch(m.epoch, 0)
@@ -125,6 +128,7 @@
 			return
 		}
 		if !ok {
+			m.observeLoad("failed", len(pages))
 			m.loop.After(300*time.Millisecond, func() {
 				if epoch == m.epoch {
 					m.setPhase(loading)
@@ -149,10 +153,18 @@
 		// watch, which starts at the first page's revision.
 		m.revision, m.targetRevision = core.Revision(pages[0].Revision), core.Revision(p.Revision)
 		m.applyEvents(events)
+		m.observeLoad("completed", len(pages))
 		m.setPhase(watching)
 	})
 }
 
+// observeLoad logs and counts a load of all keys that has ended.
+func (m *Mirror) observeLoad(result string, pages int) {
+	took := m.loop.Now().Sub(m.loadStarted)
+	m.client.metrics.Reloads.WithLabelValues(result).Observe(took.Seconds())
+	m.log.Info("load of all keys ended", "result", result, "pages", pages, "took", took.String(), "revision", m.revision, "target", m.targetRevision)
+}
+
 // watch opens a watch and, after its response, the next one. It loads all keys again if the service
 // no longer has the changes or nine watches in a row have failed; failures is how many have.
 func (m *Mirror) watch(epoch int, failures int) {
@@ -171,6 +183,7 @@
 			return
 		}
 		m.catchingUp = false
+		m.observeWatch(ok, gone, failures, len(a.Events))
 		switch {
 		case gone:
 			m.log.Info("state service no longer has the changes since our revision; reloading all keys")
@@ -196,6 +209,22 @@
 	})
 }
 
+// observeWatch counts the response to a watch, and logs one that failed or carried unusually many
+// changes.
+func (m *Mirror) observeWatch(ok, gone bool, failures, events int) {
+	result := "answered"
+	switch {
+	case gone:
+		result = "compacted"
+	case !ok:
+		result = "failed"
+	}
+	m.client.metrics.Watches.WithLabelValues(result).Inc()
+	if !ok || events > manyEvents {
+		m.log.Info("watch ended", "result", result, "events", events, "failures", failures, "revision", m.revision, "target", m.targetRevision)
+	}
+}
+
 // applyWatch applies a watch response. It holds all changes since a revision that the mirror had
 // reached, so a response that arrives after a newer one adds nothing.
 func (m *Mirror) applyWatch(revision core.Revision, events []api.Event) {
--- a/internal/state/queue.go
+++ b/internal/state/queue.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lichenstair/internal/core"
 )
 
 // requestClass selects the queue and the priority of a request.
@@ -17,6 +19,10 @@
 	classCount
 )
 
+func (c requestClass) String() string {
+	return [...]string{"lease", "election", "read", "write", "background"}[c]
+}
+
 // weights are the shares of reads, writes and background writes when the request rate does not
 // suffice for all. Strict priority for reads starved the others: every change caused a response to
 // the watch and every poll a confirmation of freshness, and where the service allows few requests
@@ -25,8 +31,9 @@
 var weights = [classCount]float64{classRead: 3, classWrite: 3, classBackground: 1}
 
 type queuedRequest struct {
-	writes int // changes in the transaction, 0 for other requests
-	send   func()
+	writes   int // changes in the transaction, 0 for other requests
+	send     func()
+	queuedAt core.Time
 }
 
 // enqueue sends a request when the limits allow it. It calls reject if the queue is full.
@@ -38,7 +45,7 @@
 	if len(c.queues[class]) == 0 {
 		c.virtualTime[class] = max(c.virtualTime[class], c.minVirtualTime(class)) // an empty class accumulates no credit
 	}
-	c.queues[class] = append(c.queues[class], queuedRequest{writes, send})
+	c.queues[class] = append(c.queues[class], queuedRequest{writes, send, c.loop.Now()})
 	c.dispatch()
 }
 
@@ -114,6 +121,7 @@
 		c.writes.take(float64(q.writes))
 		c.writeMeter.add(c.loop.Now(), float64(q.writes))
 		c.queues[class] = c.queues[class][1:]
+		c.metrics.StateWaits.WithLabelValues(class.String()).Observe(c.loop.Now().Sub(q.queuedAt).Seconds())
 		if class >= classRead {
 			// A class that waits for the write rate accumulates at most one turn of credit.
 			c.virtualTime[class] = min(c.virtualTime[class]+1/weights[class], c.minVirtualTime(class)+1)
@@ -121,3 +129,10 @@
 		q.send()
 	}
 }
+
+// ReportQueues updates the metric of the depth of each queue.
+func (c *Client) ReportQueues() {
+	for class := classLease; class < classCount; class++ {
+		c.metrics.QueueDepth.WithLabelValues("state " + class.String()).Set(float64(len(c.queues[class])))
+	}
+}
