--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -12,6 +12,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"lichenstair/api"
+	"lichenstair/internal/admission"
 	"lichenstair/internal/core"
 	"lichenstair/internal/metrics"
 	"lichenstair/internal/node"
@@ -23,18 +24,13 @@
 	loop     *core.EventLoop
 	node     *node.Node
 	log      *slog.Logger
-	slots    chan struct{} // one for each request in progress, other than reports
-	maxConns int           // maximum number of connections
+	admitted *admission.Control
+	maxConns int // maximum number of connections
 	stats    requestStats
 }
 
 const (
-	// requestTimeout and pollTimeout are the times that the protocol lets a caller wait, less the
-	// transmission time. A request that waited longer in the queue, or while the process was
-	// suspended, is dropped, since its caller is gone.
-	requestTimeout = 4500 * time.Millisecond
-	pollTimeout    = 1900 * time.Millisecond
-	readTimeout    = 10 * time.Second
+	readTimeout = 10 * time.Second
 	// An idle connection holds a socket that a worker may need. Workers report every few seconds,
 	// and users poll as often.
 	idleTimeout = 20 * time.Second
@@ -42,7 +38,7 @@
 
 // New returns a server with at most conns connections.
 func New(loop *core.EventLoop, n *node.Node, log *slog.Logger, conns int) *Server {
-	s := &Server{loop: loop, node: n, log: log, slots: make(chan struct{}, 256), maxConns: conns, stats: requestStats{metrics: n.Metrics()}}
+	s := &Server{loop: loop, node: n, log: log, admitted: admission.New(conns), maxConns: conns, stats: requestStats{metrics: n.Metrics()}}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
 		BodyLimit:             api.MaxBody,
@@ -54,20 +50,20 @@
 		DisableDefaultDate:    true,
 		ErrorHandler:          errorHandler,
 	})
-	s.app.Get("/ready", s.handle(kindHealth, requestTimeout, func(c *fiber.Ctx) func(node.Reply) { return n.Ready }))
-	s.app.Post("/hello", s.handle(kindReport, requestTimeout, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Get("/ready", s.handle(admission.Health, func(c *fiber.Ctx) func(node.Reply) { return n.Ready }))
+	s.app.Post("/hello", s.handle(admission.Report, func(c *fiber.Ctx) func(node.Reply) {
 		body := append([]byte{}, c.Body()...)
 		return func(r node.Reply) { n.HandleReport(body, r) }
 	}))
-	s.app.Post("/work", s.handle(kindSubmission, requestTimeout, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Post("/work", s.handle(admission.Submission, func(c *fiber.Ctx) func(node.Reply) {
 		body := append([]byte{}, c.Body()...)
 		return func(r node.Reply) { n.Submit(body, r) }
 	}))
-	s.app.Get("/work/:id", s.handle(kindPoll, pollTimeout, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Get("/work/:id", s.handle(admission.Poll, func(c *fiber.Ctx) func(node.Reply) {
 		id := core.JobID(append([]byte{}, c.Params("id")...))
 		return func(r node.Reply) { n.GetJob(id, r) }
 	}))
-	s.app.Post("/work/:id/cancel", s.handle(kindCancellation, requestTimeout, func(c *fiber.Ctx) func(node.Reply) {
+	s.app.Post("/work/:id/cancel", s.handle(admission.Cancellation, func(c *fiber.Ctx) func(node.Reply) {
 		id := core.JobID(append([]byte{}, c.Params("id")...))
 		return func(r node.Reply) { n.Cancel(id, r) }
 	}))
@@ -98,26 +94,24 @@
 	return c.Status(status).JSON(api.Error{Error: err.Error()})
 }
 
-// handle runs a request on the node's event loop. Reports take precedence and need no slot.
-func (s *Server) handle(kind requestKind, wait time.Duration, prepare func(*fiber.Ctx) func(node.Reply)) fiber.Handler {
+// handle runs a request on the node's event loop. Reports take precedence. A request that waited
+// longer than its caller does, in the queue or while the process was suspended, is dropped.
+func (s *Server) handle(kind admission.Kind, prepare func(*fiber.Ctx) func(node.Reply)) fiber.Handler {
+	wait := kind.Timeout()
 	return func(c *fiber.Ctx) error {
 		received := s.loop.Now()
 		respond := func(outcome requestOutcome, a node.Response) error {
 			s.stats.observe(kind, outcome, s.loop.Now().Sub(received))
 			return writeResponse(c, a)
 		}
-		if kind != kindReport {
-			if s.nearConnLimit() {
-				// Idle connections of users must not keep workers from connecting.
-				c.Context().SetConnectionClose()
-			}
-			select {
-			case s.slots <- struct{}{}:
-				defer func() { <-s.slots }()
-			default:
-				return respond(outcomeNoSlot, overloaded)
-			}
+		if kind != admission.Report && s.nearConnLimit() {
+			// Idle connections of users must not keep workers from connecting.
+			c.Context().SetConnectionClose()
+		}
+		if !s.admitted.Admit(kind) {
+			return respond(outcomeNotAdmitted, overloaded)
 		}
+		defer s.admitted.Release(kind)
 		work := prepare(c)
 		done := make(chan node.Response, 1)
 		expiredInQueue := false
@@ -130,7 +124,7 @@
 			work(func(a node.Response) { done <- a })
 		}
 		post := s.loop.PostUser
-		if kind == kindReport {
+		if kind == admission.Report {
 			post = s.loop.PostReport
 		}
 		if !post(run) {
@@ -184,7 +178,7 @@
 func (s *Server) logUnanswered() {
 	for range time.Tick(summaryInterval) {
 		if summary := s.stats.summary(); summary != "" {
-			s.log.Info("requests without an answer", "interval", summaryInterval.String(), "counts", summary, "connections", s.app.Server().GetOpenConnectionsCount(), "slots", len(s.slots))
+			s.log.Info("requests without an answer", "interval", summaryInterval.String(), "counts", summary, "connections", s.app.Server().GetOpenConnectionsCount(), "in_progress", s.admitted.InProgress())
 		}
 	}
 }
--- a/internal/frontend/stats.go
+++ b/internal/frontend/stats.go
@@ -6,32 +6,17 @@
 	"sync/atomic"
 	"time"
 
+	"lichenstair/internal/admission"
 	"lichenstair/internal/metrics"
 )
 
-// requestKind is the kind of a request.
-type requestKind int
-
-const (
-	kindPoll requestKind = iota
-	kindSubmission
-	kindCancellation
-	kindHealth
-	kindReport
-	kindCount
-)
-
-func (k requestKind) String() string {
-	return [...]string{"poll", "submission", "cancellation", "health", "report"}[k]
-}
-
 // requestOutcome is how a request ended.
 type requestOutcome int
 
 const (
 	outcomeAnswered       requestOutcome = iota
 	outcomeRefused                       // the node asked the caller to retry
-	outcomeNoSlot                        // too many requests were in progress
+	outcomeNotAdmitted                   // too many requests were in progress
 	outcomeQueueFull                     // the event loop's queue was full
 	outcomeExpiredInQueue                // its caller had given up before the event loop took it
 	outcomeExpired                       // its caller gave up while the node worked on it
@@ -40,7 +25,7 @@
 )
 
 func (o requestOutcome) String() string {
-	return [...]string{"answered", "refused", "no slot", "queue full", "expired in queue", "expired", "outdated"}[o]
+	return [...]string{"answered", "refused", "not admitted", "queue full", "expired in queue", "expired", "outdated"}[o]
 }
 
 // summaryInterval is the interval of the log lines about requests that were not answered.
@@ -49,10 +34,10 @@
 // requestStats counts requests by kind and outcome. It may be used from any goroutine.
 type requestStats struct {
 	metrics *metrics.Metrics
-	counts  [kindCount][outcomeCount]atomic.Int64 // since the last summary
+	counts  [admission.KindCount][outcomeCount]atomic.Int64 // since the last summary
 }
 
-func (s *requestStats) observe(kind requestKind, outcome requestOutcome, took time.Duration) {
+func (s *requestStats) observe(kind admission.Kind, outcome requestOutcome, took time.Duration) {
 	s.metrics.Requests.WithLabelValues(kind.String(), outcome.String()).Observe(took.Seconds())
 	s.counts[kind][outcome].Add(1)
 }
@@ -61,7 +46,7 @@
 // answered, or an empty string if there is none.
 func (s *requestStats) summary() string {
 	var kinds []string
-	for kind := range kindCount {
+	for kind := range admission.KindCount {
 		var parts []string
 		unanswered := int64(0)
 		for outcome := range outcomeCount {
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -58,9 +58,15 @@
 func (c *Cloud) Add(typ, zone string, spot bool, boot time.Duration) *Machine {
 	id := fmt.Sprintf("n-%06d", c.next)
 	addr := fmt.Sprintf("10.1.%d.%d:9000", c.next/250, c.next%250+1)
+	if c.w.real != nil {
+		addr = c.w.real.workerAddr(c.next)
+	}
 	c.next++
 	m := newMachine(c.w, id, addr, c.machineType(typ), zone, spot)
 	c.machines[id], c.byAddr[addr] = m, m
+	if c.w.real != nil {
+		c.w.real.listen(endpoint(""), endpoint(addr), addr, m.handle)
+	}
 	c.Capacity[capacityKey(typ, zone, spot)]--
 	if boot >= 0 {
 		c.w.After(boot, m.boot)
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"lichenstair/internal/core"
 )
 
 // Faults maps the names of the faults that a run can inject to the functions that inject them.
@@ -208,7 +210,7 @@
 	},
 	"reports copied to the next leader": func(w *World) {
 		w.ReplayReportsToNewLeader()
-		w.After(time.Duration(w.uniform(0.5, 20)*float64(time.Second)), func() { w.leader().Restart(3 * time.Second) })
+		w.After(time.Duration(w.uniform(0.5, 20)*float64(time.Second)), func() { w.Leader().Restart(3 * time.Second) })
 	},
 	"attempts replaced, old reports reach the new holders": func(w *World) {
 		w.ReplayReportsOnGrant(60 * time.Second)
@@ -230,9 +232,9 @@
 			w.DropResponses(m, time.Duration(w.uniform(5, 60)*float64(time.Second)))
 		}
 	},
-	"leader alone with workers and users": func(w *World) { w.IsolateWithWorkers(w.leader(), w.partitionTime()) },
+	"leader alone with workers and users": func(w *World) { w.IsolateWithWorkers(w.Leader(), w.partitionTime()) },
 	"leader rejected, then state outage": func(w *World) {
-		w.State.RejectRequestsFrom(w.leader().name, 14*time.Second)
+		w.State.RejectRequestsFrom(w.Leader().name, 14*time.Second)
 		w.After(time.Duration(w.uniform(0.5, 3)*float64(time.Second)), func() { w.State.Outage(w.Cfg.Workers.Cancel + time.Duration(w.uniform(2, 20)*float64(time.Second))) })
 	},
 	"a zone and a controller partitioned off": func(w *World) {
@@ -245,7 +247,7 @@
 	},
 	"leaders change repeatedly": func(w *World) {
 		for i := range 10 {
-			w.After(time.Duration(i)*12*time.Second, func() { w.leader().Restart(time.Duration(w.uniform(0.05, 4) * float64(time.Second))) })
+			w.After(time.Duration(i)*12*time.Second, func() { w.Leader().Restart(time.Duration(w.uniform(0.05, 4) * float64(time.Second))) })
 		}
 	},
 	"commands delayed": func(w *World) {
@@ -362,10 +364,41 @@
 	return up[:min(n, len(up))]
 }
 
-// leader returns the current leader, or a random controller if there is none.
-func (w *World) leader() *Host {
+// Leader returns the current leader, or a random controller if there is none.
+func (w *World) Leader() *Host {
 	if h := w.State.Leader(); h != nil {
 		return h
 	}
 	return w.randomHost()
 }
+
+// EndFaults ends all faults that are active and starts all controllers. Messages that a partition
+// held still arrive late.
+func (w *World) EndFaults() {
+	w.partitions = nil
+	w.ResetProb, w.DuplicateProb, w.LateReportProb, w.CancelAtEndProb = 0, 0, 0, 0
+	w.Users.PollRateFactor, w.Users.BurstQueries = 0, false
+	w.Cloud.downUntil, w.Cloud.BootTimeFactor, w.Cloud.LateCallProb, w.Cloud.BootFailProb = 0, 0, 0, 0
+	w.State.endFaults()
+	for _, h := range w.Hosts {
+		h.stalledUntil = w.now
+		if h.real != nil {
+			h.real.resume(h)
+		}
+		h.Start()
+	}
+}
+
+// endFaults ends all faults of the state service.
+func (s *StateService) endFaults() {
+	outage := s.w.now < s.downUntil
+	s.downUntil, s.slowUntil = 0, 0
+	clear(s.rejectedUntil)
+	s.LostResponseProb, s.LateWriteProb, s.LostWriteResponseProb = 0, 0, 0
+	if outage {
+		for _, id := range core.SortedKeys(s.leases) {
+			s.renewLease(id)
+		}
+	}
+	s.answerWatches()
+}
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -55,6 +55,86 @@
 	}
 }
 
+// FleetSettings returns settings for a fictitious deployment with n controllers and about the given
+// number of machines.
+func FleetSettings(n, machines int) config.Config {
+	cfg := Settings(n)
+	cfg.Zones = []string{"east", "north", "west", "south"}
+	cfg.StateLimits.RPS, cfg.StateLimits.WriteRPS = 400, 150
+	cfg.CloudLimits.RPS = 5
+	cfg.Workers.Report, cfg.Workers.Lease, cfg.Workers.Cancel = 3*time.Second, 16*time.Second, 42*time.Second
+	cfg.Limits.Sockets = 1700
+	scale := float64(machines) / 12
+	for i := range cfg.Teams {
+		cfg.Teams[i].CPUs, cfg.Teams[i].CPUsMax = cfg.Teams[i].CPUs*scale, cfg.Teams[i].CPUsMax*scale
+	}
+	return cfg
+}
+
+// PopulateFleet adds controllers and capacity for about the given number of machines to a new
+// world. About a quarter of the machines are up at the start.
+func (w *World) PopulateFleet(machines int) {
+	zones := w.Cfg.Zones
+	w.Cloud.Types = []api.MachineType{
+		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 40, FetchGBPerS: 0.3, Price: 0.5, SpotPrice: 0.2, BootS: 20, Zones: zones},
+		{Name: "large", CPUs: 32, MemoryGB: 128, CacheGB: 60, FetchGBPerS: 0.4, Price: 2, SpotPrice: 0.8, BootS: 30, Zones: zones},
+	}
+	for _, z := range zones {
+		share := machines / len(zones)
+		w.Cloud.Capacity[capacityKey("small", z, true)] = share * 4 / 10
+		w.Cloud.Capacity[capacityKey("small", z, false)] = share * 4 / 10
+		w.Cloud.Capacity[capacityKey("large", z, false)] = share * 2 / 10
+		for range share * 2 / 10 {
+			w.Cloud.Add("small", z, false, 0)
+		}
+		for range share / 20 {
+			w.Cloud.Add("large", z, false, 0)
+		}
+	}
+	for _, h := range w.Hosts {
+		w.After(time.Duration(w.uniform(0, 500))*time.Millisecond, h.Start)
+		h.probe()
+	}
+}
+
+// FleetLoad submits arrays of up to 900 tasks and small gangs on whole large machines, half of
+// them in one zone, until a time, at the given mean rates per second.
+func (w *World) FleetLoad(until SimTime, arrays, gangs float64) {
+	n := 0
+	submit := func(gang bool) {
+		n++
+		j := api.Job{
+			ID: fmt.Sprintf("req-%06d", n), Class: "counts", Team: w.Cfg.Teams[w.Rand.IntN(len(w.Cfg.Teams))].Name, Form: api.FormArray, Rank: api.RankStandard,
+			Tasks: 20 + w.Rand.IntN(200), CPUs: 1, MemoryGB: 2, Image: fmt.Sprintf("img-%d", w.Rand.IntN(8)), ImageGB: w.uniform(0.2, 1.5),
+			EstimateS: w.uniform(15, 60), Spot: true,
+		}
+		if w.chance(0.05) {
+			j.Tasks = 900
+		}
+		d := 2.5*j.EstimateS + 30
+		j.DeadlineS = &d
+		if gang {
+			j.Class, j.Form, j.Rank, j.Tasks, j.CPUs, j.MemoryGB, j.Spot, j.DeadlineS = "joint", api.FormGang, api.RankHigh, 1+w.Rand.IntN(3), 30, 100, false, nil
+			j.CheckpointS, j.SaveS, j.OneZone = 20, 3, w.chance(0.5)
+		}
+		w.Users.Submit(j)
+	}
+	for _, kind := range []struct {
+		rate float64
+		gang bool
+	}{{arrays, false}, {gangs, true}} {
+		var next func()
+		next = func() {
+			if w.now >= until {
+				return
+			}
+			submit(kind.gang)
+			w.After(time.Duration(w.Rand.ExpFloat64()/kind.rate*float64(time.Second)), next)
+		}
+		w.After(3*time.Second, next)
+	}
+}
+
 // RandomJob returns a random job with the given number as its ID.
 func (w *World) RandomJob(n int) api.Job {
 	r := w.Rand
@@ -114,6 +194,20 @@
 	w.After(3*time.Second, next)
 }
 
+// CancelSome cancels a random accepted job now and then until a time, at random intervals of 0.2 to
+// 2 times every.
+func (w *World) CancelSome(until SimTime, every time.Duration) {
+	w.After(time.Duration(w.uniform(0.2, 2)*float64(every)), func() {
+		if w.now >= until {
+			return
+		}
+		if ids := w.Users.someAccepted(1); len(ids) > 0 {
+			w.Users.Cancel(ids[0])
+		}
+		w.CancelSome(until, every)
+	})
+}
+
 // watchFreeCapacity tells the checker every five seconds which jobs wait although machines have
 // free capacity for one of their tasks. Gangs of several tasks are left out, since capacity for
 // one task is not enough for them.
--- a/internal/sim/users.go
+++ b/internal/sim/users.go
@@ -20,6 +20,8 @@
 	Refused  int // submissions, repeated ones included, without a response or told to retry
 	// PollRateFactor multiplies the rate at which users poll; values below 1 count as 1.
 	PollRateFactor float64
+	// Answered counts polls with a usable response in time.
+	Answered int
 	// Unanswered counts polls without a usable response in time.
 	Unanswered int
 	// BurstQueries makes users query all controllers and repeat the submission within
@@ -184,6 +186,14 @@
 
 // call sends a request to a random controller, preferring healthy ones.
 func (u *Users) call(method, path string, body []byte, done func(core.Response)) {
+	timeout := 5 * time.Second
+	if method == "GET" {
+		timeout = 2 * time.Second
+	}
+	if u.w.Balancer != nil {
+		u.w.Balancer.Send(core.Request{Method: method, Path: path, Body: body, Timeout: timeout}, done)
+		return
+	}
 	h := u.w.Hosts[u.w.Rand.IntN(len(u.w.Hosts))]
 	for range 10 {
 		if h.healthy {
@@ -191,10 +201,6 @@
 		}
 		h = u.w.Hosts[u.w.Rand.IntN(len(u.w.Hosts))]
 	}
-	timeout := 5 * time.Second
-	if method == "GET" {
-		timeout = 2 * time.Second
-	}
 	u.w.exchange("users", core.Request{Addr: h.addr, Method: method, Path: path, Body: body, Timeout: timeout}, done)
 }
 
@@ -253,6 +259,7 @@
 		var s api.JobStatus
 		switch {
 		case res.Status == 200 && json.Unmarshal(res.Body, &s) == nil:
+			u.Answered++
 			u.w.Checker.Polled(j.spec.ID, asked, true)
 			u.w.Checker.StatusReturned(j.spec.ID, s.Phase, asked)
 			if s.Phase == api.PhaseDone && j.final == "" {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -57,6 +57,10 @@
 	// LeaseExpiredTasks counts the tasks that ended because their worker's lease expired.
 	LeaseExpiredTasks int
 
+	// Balancer passes the users' requests to controllers; nil: a controller is chosen in a
+	// simplified way.
+	Balancer *Balancer
+
 	// Policy is the placement policy of the controllers.
 	Policy placement.Policy
 	// ResetProb is the probability that a connection is reset within 800 ms after a request was
@@ -79,6 +83,7 @@
 	// recorded holds the reports that are replayed to controllers later.
 	recorded recordedReports
 
+	real       *RealWorld // nil: the controllers are simulated
 	now        SimTime
 	seq        uint64 // number of the last scheduled event
 	events     eventQueue
