--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -185,9 +186,10 @@
 	return ln.Addr().String(), nil
 }
 
-// freeAddr returns a loopback address that is free at the moment.
+// freeAddr returns a loopback address that is free at the moment. It is on a host of its own, so that
+// no other connection takes the port before the controller listens on it.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	ln, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250)))
 	if err != nil {
 		return "", err
 	}
