Start commands are logged and measured with the age of the last proof of freshness

A start that followed a confirmed cancellation could have three causes which the log did not tell apart: the announcement to the other controllers was lost in a queue, the holder had it and started nevertheless, or the holder could not know. 'start command added to response' now has the age of the holder's last proof (proven_ago), the confirmation of a cancellation and the arrival of its announcement have a line each, and lichenstair_start_proof_age_seconds is a histogram.

--- a/internal/block/reasons.go
+++ b/internal/block/reasons.go
@@ -112,5 +112,6 @@
 // state on which the decision was based.
 func (h *Holder) noteStart(s *slot) {
 	h.Metrics.Starts.Inc()
-	h.Log.Debug("start command added to response", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "term", h.commandTerm(s.machine), "session", s.sentSession, "sequence", s.sentSequence, "revision", h.Mirror.Revision())
+	h.Metrics.StartProofAges.Observe(h.Mirror.Staleness().Seconds())
+	h.Log.Debug("start command added to response", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "term", h.commandTerm(s.machine), "session", s.sentSession, "sequence", s.sentSequence, "revision", h.Mirror.Revision(), "proven_ago", h.Mirror.Staleness().String())
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,9 @@
 	Duplicates prometheus.Counter
 	// Starts counts start commands sent to workers.
 	Starts prometheus.Counter
+	// StartProofAges measures, in seconds, how long before each start command the mirror was last
+	// confirmed fresh.
+	StartProofAges prometheus.Histogram
 	// Stops counts attempts that were told to stop, by reason.
 	Stops *prometheus.CounterVec
 	// Releases counts attempts proven to be off their machines, by reason.
@@ -82,6 +85,7 @@
 		Discovered:     counters("attempts_learnt_total", "Attempts that a holder learnt of from a message, by source.", "source"),
 		Duplicates:     counter("attempts_duplicate_total", "Attempts learnt of while another one of the task was booked."),
 		Starts:         counter("starts_total", "Start commands sent to workers."),
+		StartProofAges: histogram("start_proof_age_seconds", "How long before a start command what was read was last proven complete."),
 		Stops:          counters("stops_total", "Attempts that were told to stop, by reason.", "reason"),
 		Releases:       counters("releases_total", "Attempts proven to be off their machines, by reason.", "reason"),
 
@@ -99,10 +103,10 @@
 		ConfirmationStages: histograms("state_confirmation_seconds", "Stages of a proof that what was read is complete.", "stage"),
 		Confirmations:      counters("state_confirmations_total", "Proofs that what was read is complete, by result.", "result"),
 		Watches:            counters("state_watches_total", "Responses to watches, by result.", "result"),
-		Passes:             prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "pass_seconds", Help: "Duration of scheduling passes.", Buckets: secondsBuckets}),
+		Passes:             histogram("pass_seconds", "Duration of scheduling passes."),
 		Reloads:            histograms("state_reload_seconds", "Time to read all keys, by result.", "result"),
 	}
-	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.Stops, m.Releases, m.Violations, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge,
+	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.StartProofAges, m.Stops, m.Releases, m.Violations, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge,
 		m.Requests, m.LoopWaits, m.LoopCallbacks, m.QueueDepth, m.StateWaits, m.ConfirmationStages, m.Confirmations, m.Watches, m.Reloads, m.Passes)
 	return m
 }
@@ -128,6 +132,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: secondsBuckets})
+}
+
 func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: secondsBuckets}, labels)
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -58,6 +58,7 @@
 func (n *Node) HandleFrame(frame []byte) {
 	if ids, ok := peer.DecodeCancellations(frame); ok {
 		for _, id := range ids {
+			n.log.Debug("cancellation announced by another controller", "job", id, "proven_ago", n.mirror.Staleness().String())
 			for _, h := range n.holders {
 				h.ApplyCancellation(id)
 			}
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -128,6 +128,7 @@
 		n.state.Txn(t, func(r state.Result) {
 			switch r.Outcome {
 			case state.Applied:
+				n.log.Info("job cancelled", "job", id, "revision", r.Revision)
 				n.announceCancellation(id)
 				reply(Response{Status: 200, Body: api.JobStatus{ID: string(id), Phase: api.PhaseCancelled}})
 			case state.Refused, state.LeaseExpired:
