Heartbeats no longer displace announcements of cancellations in a peer's queue

A peer's queue had one place for all kinds of frames: a heartbeat took the place of an announced cancellation that had not been sent yet, and the announcement that of a heartbeat, so that for 3 s after a cancellation a slow peer lost one or the other. Heartbeats have a place of their own now, other frames a queue of 64 that drops the oldest.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -1,5 +1,6 @@
-// Package peer exchanges hints between controllers over TCP, in a binary format. A hint
-// only improves speed; correctness must not depend on it.
+// Package peer exchanges frames between controllers over TCP, in a binary format. Heartbeats and
+// announcements of cancellations are hints: they only improve speed, and correctness must not depend
+// on them. An acknowledgement is a statement that stays true, however late it arrives.
 package peer
 
 import (
@@ -22,8 +23,9 @@
 	// MaxPayload bounds the payload of a frame, in bytes.
 	MaxPayload = 32 << 10
 
-	kindHeartbeat     = 1
-	kindCancellations = 2
+	kindHeartbeat        = 1
+	kindCancellations    = 2
+	kindAcknowledgements = 3
 )
 
 // Heartbeat is the status that a controller sends to the others, about twice a second.
@@ -73,8 +75,6 @@
 	maxIdle    = 64 // of idle machines, per block
 	maxRunning = 200
 	maxFailing = 200
-	// maxCancellations bounds the jobs of a frame of cancellations.
-	maxCancellations = 200
 )
 
 // EncodeHeartbeat encodes a heartbeat as a frame. List entries beyond the limits are left
@@ -131,30 +131,6 @@
 	return p
 }
 
-// EncodeCancellations encodes a frame that announces durably cancelled jobs. Jobs beyond
-// the limit are left out.
-func EncodeCancellations(ids []core.JobID) []byte {
-	p := make([]byte, headerSize, 64)
-	ids = ids[:min(len(ids), maxCancellations)]
-	p = binary.AppendUvarint(p, uint64(len(ids)))
-	for _, id := range ids {
-		p = appendString(p, string(id))
-	}
-	return putHeader(p, kindCancellations)
-}
-
-// DecodeCancellations decodes a frame of cancellations; ok is false for all other frames.
-func DecodeCancellations(frame []byte) (ids []core.JobID, ok bool) {
-	if len(frame) < headerSize || frame[2] != version || frame[3] != kindCancellations {
-		return nil, false
-	}
-	d := decoder{rest: frame[headerSize:]}
-	for range d.count(maxCancellations) {
-		ids = append(ids, core.JobID(d.shortString()))
-	}
-	return ids, !d.failed && len(d.rest) == 0
-}
-
 // appendString appends s, cut off at 255 bytes, after its length byte.
 func appendString(p []byte, s string) []byte {
 	s = s[:min(len(s), 255)]
@@ -186,7 +162,7 @@
 	if len(frame) < headerSize || frame[0] != magic0 || frame[1] != magic1 || int(binary.BigEndian.Uint32(frame[4:])) != len(frame)-headerSize {
 		return b, false, errMalformed
 	}
-	if frame[2] != version || frame[3] != kindHeartbeat {
+	if !hasKind(frame, kindHeartbeat) {
 		return b, false, nil
 	}
 	d := decoder{rest: frame[headerSize:]}
@@ -210,12 +186,17 @@
 	for range d.count(maxFailing) {
 		b.Failing = append(b.Failing, core.JobID(d.shortString()))
 	}
-	if d.failed || len(d.rest) > 0 {
+	if !d.complete() {
 		return Heartbeat{}, false, errMalformed
 	}
 	return b, true, nil
 }
 
+// hasKind reports whether a frame is of this version and of a kind.
+func hasKind(frame []byte, kind byte) bool {
+	return len(frame) >= headerSize && frame[2] == version && frame[3] == kind
+}
+
 // decoder reads the fields of a payload. After an error, failed is set and the values read
 // are meaningless.
 type decoder struct {
@@ -223,6 +204,9 @@
 	failed bool
 }
 
+// complete reports whether the whole payload was decoded without an error.
+func (d *decoder) complete() bool { return !d.failed && len(d.rest) == 0 }
+
 func (d *decoder) byte() byte {
 	if len(d.rest) == 0 {
 		d.failed = true
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -109,6 +110,67 @@
 	}
 }
 
+// Acknowledgements have a frame kind of their own as well, which no other kind is decoded as.
+func TestAcknowledgementsRoundTrip(t *testing.T) {
+	want := []Acknowledgement{{"req-1", 0, 1 << 40}, {"req-000398", 12, 3}}
+	frame, err := ReadFrame(bytes.NewReader(EncodeAcknowledgements(want)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, ok := DecodeAcknowledgements(frame); !ok || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%v %v", got, ok)
+	}
+	if _, ok := DecodeCancellations(frame); ok {
+		t.Fatal("acknowledgements were decoded as cancellations")
+	}
+	if _, ok := DecodeAcknowledgements(EncodeCancellations([]core.JobID{"req-1"})); ok {
+		t.Fatal("cancellations were decoded as acknowledgements")
+	}
+	for length := range len(frame) {
+		if _, ok := DecodeAcknowledgements(frame[:length]); ok {
+			t.Fatalf("a frame truncated to %d bytes was accepted", length)
+		}
+	}
+}
+
+// Guards against announcements of cancellations that are lost because a heartbeat, or the next
+// announcement, takes their place in the queue of a peer.
+func TestQueuedCancellationsAreNotDisplaced(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	transport := NewTransport([]config.Peer{{Host: "c1", Addr: ln.Addr().String()}}, func([]byte) {}, slog.New(slog.DiscardHandler))
+	var want, got []core.JobID
+	for i := range maxMessages / 2 {
+		id := core.JobID(fmt.Sprintf("req-%06d", i))
+		want = append(want, id)
+		transport.Broadcast(EncodeCancellations([]core.JobID{id}))
+		transport.Broadcast(EncodeHeartbeat(testHeartbeat()))
+	}
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	for heartbeats := 0; len(got) < len(want) || heartbeats == 0; {
+		frame, err := ReadFrame(conn)
+		if err != nil {
+			t.Fatalf("got %v and %d heartbeats, then %v; want %v", got, heartbeats, err, want)
+		}
+		if ids, ok := DecodeCancellations(frame); ok {
+			got = append(got, ids...)
+		} else {
+			heartbeats++
+		}
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
 // Heartbeats are encoded byte for byte as by the version in production: if that could not
 // decode them, it would take live holders for dead.
 func TestHeartbeatMatchesPreviousVersion(t *testing.T) {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -14,11 +14,21 @@
 // connection of its own.
 type Transport struct {
 	log          *slog.Logger
-	queues       []chan []byte // one per peer, for one frame that has not been sent yet
+	queues       []peerQueue   // one per peer
 	onFrame      func([]byte)  // called with each received frame
 	inboundSlots chan struct{} // limits the connections from peers
 }
 
+// peerQueue holds the frames that have not been sent to a peer yet. Heartbeats have a place of their
+// own: only the latest one matters, and it must neither displace other frames nor wait behind them.
+type peerQueue struct {
+	heartbeat chan []byte // for one frame
+	messages  chan []byte
+}
+
+// maxMessages bounds the frames other than heartbeats that wait for a peer.
+const maxMessages = 64
+
 const (
 	dialTimeout  = time.Second
 	writeTimeout = time.Second
@@ -30,32 +40,56 @@
 func NewTransport(peers []config.Peer, onFrame func([]byte), log *slog.Logger) *Transport {
 	t := &Transport{log: log, onFrame: onFrame, inboundSlots: make(chan struct{}, 2*len(peers)+2)}
 	for _, p := range peers {
-		queue := make(chan []byte, 1)
+		queue := peerQueue{make(chan []byte, 1), make(chan []byte, maxMessages)}
 		t.queues = append(t.queues, queue)
 		go t.sendLoop(p, queue)
 	}
 	return t
 }
 
-// Broadcast queues a frame for each peer, in place of a frame that has not been sent yet.
+// Broadcast queues a frame for each peer. A heartbeat takes the place of one that has not been sent
+// yet; any other frame the place of the oldest one if too many wait.
 func (t *Transport) Broadcast(frame []byte) {
 	for _, queue := range t.queues {
+		if hasKind(frame, kindHeartbeat) {
+			enqueue(queue.heartbeat, frame)
+		} else {
+			enqueue(queue.messages, frame)
+		}
+	}
+}
+
+// enqueue adds a frame to a queue, in place of the oldest frame if the queue is full.
+func enqueue(queue chan []byte, frame []byte) {
+	for {
 		select {
-		case <-queue:
+		case queue <- frame:
+			return
 		default:
 		}
 		select {
-		case queue <- frame:
+		case <-queue:
 		default:
 		}
 	}
 }
 
+// next waits for a frame to send.
+func (q peerQueue) next() []byte {
+	select {
+	case frame := <-q.messages:
+		return frame
+	case frame := <-q.heartbeat:
+		return frame
+	}
+}
+
 // sendLoop sends queued frames to a peer and reconnects as needed.
-func (t *Transport) sendLoop(p config.Peer, queue chan []byte) {
+func (t *Transport) sendLoop(p config.Peer, queue peerQueue) {
 	var conn net.Conn
 	var closed chan struct{}
-	for frame := range queue {
+	for {
+		frame := queue.next()
 		if conn != nil {
 			select {
 			case <-closed:
