Users are told of a cancellation only once no task of the job can be started

Cause: the user was told as soon as the cancellation was durable, and nothing tied that moment to the holder's right to start, which lasted as long as it might answer workers (22.9 s in the case). Evidence: the start was sent 2.319 s after the holder's last proof of freshness, the announcement arrived after it. A shorter right alone leaves a window: a paused holder started tasks up to 12.4 s after the confirmation, and one that is merely slow to read does it within milliseconds.

Change, both sides: a holder sends, plans and prompts for starts only if its replica was confirmed fresh in the last 3.5 s. Every answer 'withdrawn' waits until the holder has acknowledged the cancellation under the present grant, while all its machines are accounted for, or 4.0 s have passed since this controller learned of it, so that the right of every holder that has not read it has expired.

--- a/internal/block/answers.go
+++ b/internal/block/answers.go
@@ -122,7 +122,7 @@
 // to it, or one of its tasks has to stop and has not been told so.
 func (h *Holder) hasUrgentCommands(m *machine) bool {
 	for _, s := range m.slots {
-		if s.state == planned && h.acceptsStarts(m) || s.state == present && s.stopSentAt == 0 && h.stopReason(s) != "" {
+		if s.state == planned && h.maySendStarts() && h.acceptsStarts(m) || s.state == present && s.stopSentAt == 0 && h.stopReason(s) != "" {
 			return true
 		}
 	}
@@ -187,7 +187,7 @@
 				kills = append(kills, command)
 			}
 		case planned:
-			if h.acceptsStarts(m) && len(runs) < maxStartsPerResponse {
+			if h.maySendStarts() && h.acceptsStarts(m) && len(runs) < maxStartsPerResponse {
 				h.setSlotState(s, starting)
 				s.sentAt, s.sentSession, s.sentSequence = now, m.session, m.sequence
 				h.noteStart(s)
--- a/internal/block/holder_test.go
+++ b/internal/block/holder_test.go
@@ -13,6 +13,7 @@
 	"lichenstair/internal/metrics"
 	"lichenstair/internal/placement"
 	"lichenstair/internal/state"
+	"lichenstair/internal/state/statetest"
 	"lichenstair/internal/worker"
 )
 
@@ -24,6 +25,16 @@
 func (l *manualLoop) After(time.Duration, func())            {}
 func (l *manualLoop) Call(core.Request, func(core.Response)) {}
 
+// freshMirror returns an empty mirror that has just been confirmed fresh, and the service that sets
+// its time.
+func freshMirror(h *Holder) (*state.Mirror, *statetest.Service) {
+	service := &statetest.Service{}
+	mirror := state.NewMirror(service, state.NewClient(service, service, h.Metrics, "", h.Config.StateLimits, 3), h.Log)
+	mirror.Start()
+	mirror.ConfirmFresh(func(bool) {})
+	return mirror, service
+}
+
 func testHolder() (*Holder, *machine) {
 	loop := &manualLoop{}
 	log := slog.New(slog.DiscardHandler)
@@ -129,6 +140,7 @@
 	h, m := testHolder()
 	loop := &commandLoop{manualLoop: manualLoop{now: core.Time(10 * time.Second)}}
 	h.Loop, h.Workers = loop, worker.NewClient(loop)
+	h.Mirror, _ = freshMirror(h)
 	h.Config.Workers.Report, h.Config.Workers.Lease = 4*time.Second, 22*time.Second
 	m.addr, m.session, m.sequence, m.lastPrompt = "x:1", 1, 1, core.Time(-time.Hour)
 	s := &slot{slotKey: slotKey{core.TaskID{Job: "req-1"}, 3}, machine: m, state: planned}
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -9,10 +9,11 @@
 	"lichenstair/internal/placement"
 )
 
-// schedulePass runs a pass if something has changed, at most once per passInterval.
+// schedulePass runs a pass if something has changed, at most once per passInterval. A holder that
+// may not send starts plans none and preempts nothing for them.
 func (h *Holder) schedulePass() {
 	now := h.Loop.Now()
-	if !h.dirty || h.state != placing {
+	if !h.dirty || !h.maySendStarts() {
 		return
 	}
 	interval := max(h.passInterval, minPassInterval)
--- a/internal/block/prompt.go
+++ b/internal/block/prompt.go
@@ -76,7 +76,7 @@
 
 // hasSendableStart reports whether a start is planned on the machine and may be sent.
 func (h *Holder) hasSendableStart(m *machine) bool {
-	if !h.acceptsStarts(m) {
+	if !h.maySendStarts() || !h.acceptsStarts(m) {
 		return false
 	}
 	for _, s := range m.slots {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -65,6 +65,9 @@
 	ConfirmationStages *prometheus.HistogramVec
 	// Confirmations counts confirmations of freshness by result.
 	Confirmations *prometheus.CounterVec
+	// CancellationWaits measures, in seconds, how long users waited, once a cancellation was durable,
+	// until no task of the job could be started any more, by what excluded it.
+	CancellationWaits *prometheus.HistogramVec
 	// Watches counts responses to watches by result.
 	Watches *prometheus.CounterVec
 	// Passes measures, in seconds, the scheduling passes, during which the event loop stands still.
@@ -102,12 +105,13 @@
 		StateWaits:         histograms("state_wait_seconds", "Time that requests to the state service waited for the rate limits, by class.", "class"),
 		ConfirmationStages: histograms("state_confirmation_seconds", "Stages of a proof that what was read is complete.", "stage"),
 		Confirmations:      counters("state_confirmations_total", "Proofs that what was read is complete, by result.", "result"),
+		CancellationWaits:  histograms("cancellation_wait_seconds", "Time that users waited until no task of a cancelled job could be started any more, by reason.", "reason"),
 		Watches:            counters("state_watches_total", "Responses to watches, by result.", "result"),
 		Passes:             histogram("pass_seconds", "Duration of scheduling passes."),
 		Reloads:            histograms("state_reload_seconds", "Time to read all keys, by result.", "result"),
 	}
 	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.StartProofAges, m.Stops, m.Releases, m.Violations, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge,
-		m.Requests, m.LoopWaits, m.LoopCallbacks, m.QueueDepth, m.StateWaits, m.ConfirmationStages, m.Confirmations, m.Watches, m.Reloads, m.Passes)
+		m.Requests, m.LoopWaits, m.LoopCallbacks, m.QueueDepth, m.StateWaits, m.ConfirmationStages, m.Confirmations, m.CancellationWaits, m.Watches, m.Reloads, m.Passes)
 	return m
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,12 +54,13 @@
 	withdrawn      bool        // see updateWithdrawn
 	withdrawals    []core.Time // when the node was withdrawn lately
 	misrouted      map[core.MachineID]misroutedReport
-	prober         *worker.Prober          // checks whether the machines of misrouted reports can be reached from here
-	observedGrants map[int]observedGrant   // by block number
-	cancellations  []confirmedCancellation // recently written by this node
-	gangShapes     capacity.GangShapes     // of the jobs that became ready recently
-	peers          map[core.Host]peerHeartbeat
-	broadcast      func([]byte) // sends a frame to the other controllers
+	prober         *worker.Prober        // checks whether the machines of misrouted reports can be reached from here
+	observedGrants map[int]observedGrant // by block number
+	// pendingCancellations holds the cancelled jobs whose users are not told so yet.
+	pendingCancellations map[core.JobID]*pendingCancellation
+	gangShapes           capacity.GangShapes // of the jobs that became ready recently
+	peers                map[core.Host]peerHeartbeat
+	broadcast            func([]byte) // sends a frame to the other controllers
 }
 
 const (
@@ -69,7 +70,7 @@
 
 // New returns a node, which Start starts. broadcast sends a frame to the other controllers.
 func New(cfg *config.Config, loop core.Loop, call core.Caller, broadcast func([]byte), log *slog.Logger, rnd *rand.Rand) *Node {
-	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]peerHeartbeat{}, misrouted: map[core.MachineID]misroutedReport{}, observedGrants: map[int]observedGrant{}}
+	n := &Node{cfg: cfg, loop: loop, log: log, rnd: rnd, broadcast: broadcast, holders: map[int]*block.Holder{}, peers: map[core.Host]peerHeartbeat{}, misrouted: map[core.MachineID]misroutedReport{}, observedGrants: map[int]observedGrant{}, pendingCancellations: map[core.JobID]*pendingCancellation{}}
 	n.metrics = metrics.New()
 	n.state = state.NewClient(loop, call, n.metrics, cfg.State, cfg.StateLimits, cfg.Nodes)
 	n.mirror = state.NewMirror(loop, n.state, log)
@@ -158,6 +159,7 @@
 	for _, num := range core.SortedKeys(n.holders) {
 		n.holders[num].ApplyChanges(t)
 	}
+	n.trackCancellations(t.Jobs)
 	if n.leader != nil {
 		n.leader.Tick()
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -38,7 +38,7 @@
 	slices.SortStableFunc(b.Running, func(x, y peer.RunningHint) int { return cmp.Compare(y.Tasks, x.Tasks) })
 	b.Misrouted = n.misroutedHints()
 	n.broadcast(peer.EncodeHeartbeat(b))
-	n.rebroadcastCancellations()
+	n.repeatAnnouncements()
 }
 
 // shareWriteRate lets this node use the part of the write rate that the others do not need.
@@ -57,12 +57,11 @@
 // HandleFrame handles a frame from another controller.
 func (n *Node) HandleFrame(frame []byte) {
 	if ids, ok := peer.DecodeCancellations(frame); ok {
-		for _, id := range ids {
-			n.log.Debug("cancellation announced by another controller", "job", id, "proven_ago", n.mirror.Staleness().String())
-			for _, h := range n.holders {
-				h.ApplyCancellation(id)
-			}
-		}
+		n.handleAnnouncement(ids)
+		return
+	}
+	if acknowledgements, ok := peer.DecodeAcknowledgements(frame); ok {
+		n.handleAcknowledgements(acknowledgements)
 		return
 	}
 	b, ok, err := peer.DecodeHeartbeat(frame)
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -22,14 +22,20 @@
 // responseValidity is how long a response that reports a changeable status can be sent.
 const responseValidity = time.Second
 
-// jobResponse returns the status of a job as shown by the mirror, which has been confirmed
-// fresh.
-func (n *Node) jobResponse(id core.JobID, e *state.JobEntry) Response {
-	a := Response{Status: 200, Body: n.status(id, e)}
+// replyStatus replies with the status of a job as shown by the mirror, which has been confirmed
+// fresh. That a job is cancelled is told only once none of its tasks can be started any more.
+func (n *Node) replyStatus(httpStatus int, id core.JobID, e *state.JobEntry, reply Reply) {
+	a := Response{Status: httpStatus, Body: n.status(id, e)}
 	if !e.Finished() {
 		a.ExpiresAt = n.loop.Now().Add(responseValidity)
 	}
-	return a
+	if e.Cancelled() {
+		if p := n.findCancellation(id, e); p != nil {
+			n.whenStartsExcluded(id, p, func() { reply(a) })
+			return
+		}
+	}
+	reply(a)
 }
 
 // Reply delivers a response. It is called exactly once per request.
@@ -67,7 +73,7 @@
 // returned only once the mirror is confirmed fresh.
 func (n *Node) GetJob(id core.JobID, reply Reply) {
 	if e := n.mirror.Jobs[id]; e != nil && e.Finished() {
-		reply(n.jobResponse(id, e))
+		n.replyStatus(200, id, e, reply)
 		return
 	}
 	if !api.ValidJobID(string(id)) {
@@ -76,7 +82,7 @@
 	}
 	n.whenFresh(reply, func() {
 		if e := n.mirror.Jobs[id]; e != nil {
-			reply(n.jobResponse(id, e))
+			n.replyStatus(200, id, e, reply)
 			return
 		}
 		reply(errorResponse(404, "no such job", ""))
@@ -118,7 +124,7 @@
 			reply(errorResponse(404, "no such job", ""))
 			return
 		case e.Finished():
-			reply(n.jobResponse(id, e))
+			n.replyStatus(200, id, e, reply)
 			return
 		}
 		t := api.Txn{
@@ -129,8 +135,10 @@
 			switch r.Outcome {
 			case state.Applied:
 				n.log.Info("job cancelled", "job", id, "revision", r.Revision)
-				n.announceCancellation(id)
-				reply(Response{Status: 200, Body: api.JobStatus{ID: string(id), Phase: api.PhaseCancelled}})
+				p := n.trackCancellation(id, r.Revision, n.loop.Now())
+				n.whenStartsExcluded(id, p, func() {
+					reply(Response{Status: 200, Body: api.JobStatus{ID: string(id), Phase: api.PhaseCancelled}})
+				})
 			case state.Refused, state.LeaseExpired:
 				reply(n.retryLater("the state service does not take changes"))
 			default:
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -95,7 +95,7 @@
 func (n *Node) unlessAccepted(id core.JobID, reply Reply, then func()) {
 	n.whenFresh(reply, func() {
 		if e := n.mirror.Jobs[id]; e != nil {
-			reply(n.jobResponse(id, e))
+			n.replyStatus(200, id, e, reply)
 			return
 		}
 		then()
@@ -200,9 +200,7 @@
 				}
 				n.mirror.WaitFor(r.Revision, func(ok bool) {
 					if e := n.mirror.Jobs[c.id]; ok && e != nil {
-						created := n.jobResponse(c.id, e)
-						created.Status = 201
-						c.reply(created)
+						n.replyStatus(201, c.id, e, c.reply)
 						return
 					}
 					c.reply(n.retryLater("the state service does not answer"))
@@ -228,7 +226,7 @@
 			e := n.mirror.Jobs[c.id]
 			switch {
 			case ok && e != nil:
-				c.reply(n.jobResponse(c.id, e))
+				n.replyStatus(200, c.id, e, c.reply)
 			case !ok || n.loop.Now() > c.deadline:
 				c.reply(n.retryLater("the state service does not answer"))
 			default:
--- a/internal/sim/checker.go
+++ b/internal/sim/checker.go
@@ -173,6 +173,15 @@
 	}
 }
 
+// StartCommanded checks a command to start a task that left its controller no earlier than at the
+// given time: by then its user must not have been told that the job is cancelled. A command that was
+// on its way by then may still be executed.
+func (c *Checker) StartCommanded(t core.TaskID, at SimTime) {
+	if j := c.jobs[string(t.Job)]; j != nil && j.final == api.PhaseCancelled && at > j.finalAt {
+		c.fail("started_cancelled: a start of task %s is sent at %.3f, %.3f s after its user was told that the job is cancelled", t, at.Seconds(), (at - j.finalAt).Seconds())
+	}
+}
+
 // checkPlacement checks type, zone, spot and spread constraints of a task on a machine.
 func (c *Checker) checkPlacement(j *jobState, t core.TaskID, p MachineInfo) {
 	s := j.spec
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -276,7 +276,10 @@
 	case admission.Health:
 		answerAdmitted(p.node.Ready(p.Now()))
 	case admission.Report:
-		p.node.HandleReport(r.Body, answerAdmitted)
+		p.node.HandleReport(r.Body, func(a node.Response) {
+			p.checkStarts(a)
+			answerAdmitted(a)
+		})
 	case admission.Submission:
 		p.node.Submit(r.Body, answerAdmitted)
 	case admission.Cancellation:
@@ -286,6 +289,19 @@
 	}
 }
 
+// checkStarts passes the starts in the response to a report to the checker.
+func (p *process) checkStarts(a node.Response) {
+	response, ok := a.Body.(api.ReportResponse)
+	if !ok || p.dead {
+		return
+	}
+	for _, command := range response.Commands {
+		if id, err := core.ParseTaskID(command.Task); err == nil && command.Verb == api.VerbRun {
+			p.h.w.Checker.StartCommanded(id, p.h.w.now)
+		}
+	}
+}
+
 // requestKind returns the kind of a request to a controller.
 func requestKind(r core.Request) admission.Kind {
 	switch {
--- a/internal/sim/workerreport.go
+++ b/internal/sim/workerreport.go
@@ -98,7 +98,7 @@
 		if a.Term >= m.term && session == m.session {
 			m.term = a.Term
 			m.lastAnswered = max(m.lastAnswered, sent)
-			m.execute(a.Commands)
+			m.execute(a.Commands, sent)
 		}
 		m.scheduleNextReport()
 	case 421:
@@ -138,7 +138,7 @@
 			m.term = d.Term
 			m.report(500 * time.Millisecond)
 		}
-		m.execute(d.Commands)
+		m.execute(d.Commands, 0)
 		reply(newResponse(200, m.snapshot()))
 	})
 }
--- a/internal/state/dependencies.go
+++ b/internal/state/dependencies.go
@@ -30,6 +30,12 @@
 // Cancelled reports whether the job is cancelled, by its own record or because a dependency was.
 func (e *JobEntry) Cancelled() bool { return e.dependencyCancelled || e.Phase == JobCancelled }
 
+// CancelledByDependency reports whether the job is cancelled because a dependency was, and not by
+// its own record. Such a job was never ready, so none of its tasks can have been started.
+func (e *JobEntry) CancelledByDependency() bool {
+	return e.dependencyCancelled && e.Phase != JobCancelled
+}
+
 // ReadyAt returns the time from which a job may run, and false while a dependency is not durably
 // done.
 func (m *Mirror) ReadyAt(e *JobEntry) (core.WallTime, bool) {
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -31,6 +31,7 @@
 
 	phase          mirrorPhase
 	complete       bool          // has once held all keys up to some revision
+	completeSince  core.Time     // when that was first so
 	revision       core.Revision // revision up to which all changes were applied
 	targetRevision core.Revision // a watch opened below this revision does not block
 	loadCount      int           // how often all keys were read
@@ -232,8 +233,8 @@
 		return
 	}
 	m.revision = revision
-	if m.revision >= m.targetRevision {
-		m.complete = true
+	if m.revision >= m.targetRevision && !m.complete {
+		m.complete, m.completeSince = true, m.loop.Now()
 	}
 	m.applyEvents(events)
 	m.notifyWaiters()
@@ -292,3 +293,6 @@
 
 // Complete reports whether the mirror has once held all keys up to some revision.
 func (m *Mirror) Complete() bool { return m.complete }
+
+// CompleteSince returns when the mirror first held all keys, and false if it never did.
+func (m *Mirror) CompleteSince() (core.Time, bool) { return m.completeSince, m.complete }
