--- a/internal/block/answers.go
+++ b/internal/block/answers.go
@@ -159,7 +159,7 @@
 // commands returns the commands for a machine that has just reported, and updates the state of
 // the attempts concerned.
 func (h *Holder) commands(m *machine) []api.Command {
-	now := h.Loop.Now()
+	now, maySendStarts := h.Loop.Now(), h.maySendStarts()
 	var kills, clears, runs []api.Command
 	for _, s := range m.orderedSlots() {
 		command := api.Command{Task: s.task.String(), Attempt: uint64(s.attempt)}
@@ -187,7 +187,7 @@
 				kills = append(kills, command)
 			}
 		case planned:
-			if h.maySendStarts() && h.acceptsStarts(m) && len(runs) < maxStartsPerResponse {
+			if maySendStarts && h.acceptsStarts(m) && len(runs) < maxStartsPerResponse {
 				h.setSlotState(s, starting)
 				s.sentAt, s.sentSession, s.sentSequence = now, m.session, m.sequence
 				h.noteStart(s)
--- a/internal/block/attempts.go
+++ b/internal/block/attempts.go
@@ -7,8 +7,14 @@
 // book adds an attempt to its machine and to its job. No other function does so.
 func (h *Holder) book(s *slot) {
 	s.machine.addSlot(s)
-	j := h.jobs[s.task.Job]
-	if j != nil && s.booked() && s.task.Index < j.spec.Tasks {
+	if j := h.jobs[s.task.Job]; j != nil {
+		j.addAttempt(s)
+	}
+}
+
+// addAttempt adds an attempt to the job's set if it is booked and of one of the job's tasks.
+func (j *job) addAttempt(s *slot) {
+	if s.booked() && s.task.Index < j.spec.Tasks {
 		j.attempts.add(s)
 	}
 }
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -197,7 +197,7 @@
 		}
 		if m.state == live && now.Sub(max(m.lastMessage, h.resumedAt)) > maxSilence {
 			h.setMachineState(m, silent)
-			h.dropMachinePlans(m)
+			h.dropPlans(m.orderedSlots())
 		}
 		if (m.state == live || m.state == silent || m.state == unsure) && provenAt > m.lastRenewal.Add(core.WithDrift(w.Lease)+timingMargin) {
 			// The worker's lease counts from the sending of the last answered report, which
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -1,6 +1,7 @@
 package block
 
 import (
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -30,9 +31,9 @@
 	}
 }
 
-// dropMachinePlans drops the planned starts of a machine to which they cannot be sent.
-func (h *Holder) dropMachinePlans(m *machine) {
-	for _, s := range m.orderedSlots() {
+// dropPlans drops those attempts that are planned, whose starts have not been sent.
+func (h *Holder) dropPlans(attempts []*slot) {
+	for _, s := range slices.Clone(attempts) {
 		if s.state == planned {
 			h.releaseAttempt(s, releasePlanDropped)
 		}
--- a/internal/block/reports.go
+++ b/internal/block/reports.go
@@ -160,7 +160,7 @@
 	m.unreachable, m.unreachableSince = unreachable, h.Loop.Now()
 	h.dirty = true
 	if unreachable {
-		h.dropMachinePlans(m)
+		h.dropPlans(m.orderedSlots())
 		h.fence(m)
 	}
 }
@@ -213,20 +213,11 @@
 	h.dirty = true
 	h.noteDiscovered(s, from, others)
 	if j != nil && s.booked() {
-		h.dropTaskPlans(j, key.task.Index)
+		h.dropPlans(j.attempts.byTask[key.task.Index])
 	}
 	return s
 }
 
-// dropTaskPlans drops the planned starts of a task that is already on a machine.
-func (h *Holder) dropTaskPlans(j *job, task int) {
-	for _, s := range slices.Clone(j.attempts.byTask[task]) {
-		if s.state == planned {
-			h.releaseAttempt(s, releasePlanDropped)
-		}
-	}
-}
-
 // noteProgress records that an attempt has its image, and when it was first seen running.
 func (h *Holder) noteProgress(s *slot, j *job) {
 	if s.reportedState != api.TaskRunning && s.reportedState != api.TaskGathering && s.reportedState != api.TaskSaving {
--- a/internal/block/sync.go
+++ b/internal/block/sync.go
@@ -108,7 +108,7 @@
 	j := h.jobs[id]
 	if e.Finished() {
 		if j != nil {
-			h.dropJobPlans(j)
+			h.dropPlans(j.attempts.all())
 			delete(h.jobs, id)
 			h.Log.Info("job finished", "job", id, "phase", e.Phase)
 			h.dirty = true
@@ -156,8 +156,8 @@
 		"spot", j.spec.Spot, "image", j.spec.Image, "estimate_s", j.spec.EstimateS, "age_ms", h.Loop.WallNow()-j.readyAt)
 	for _, machineID := range core.SortedKeys(h.machines) {
 		for _, s := range h.machines[machineID].orderedSlots() {
-			if s.task.Job == id && s.booked() && s.task.Index < j.spec.Tasks {
-				j.attempts.add(s)
+			if s.task.Job == id {
+				j.addAttempt(s)
 			}
 		}
 	}
@@ -181,16 +181,7 @@
 		return
 	}
 	j.cancelled = true
-	h.dropJobPlans(j)
+	h.dropPlans(j.attempts.all())
 	h.dirty = true
 	h.answerHeldReports()
 }
-
-// dropJobPlans drops the planned starts of a job that is finished or cancelled.
-func (h *Holder) dropJobPlans(j *job) {
-	for _, s := range j.attempts.all() {
-		if s.state == planned {
-			h.releaseAttempt(s, releasePlanDropped)
-		}
-	}
-}
