--- a/review/harness2/cluster.go
+++ b/review/harness2/cluster.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -170,6 +171,16 @@
 	}()
 }
 
+// ended reports whether the run is over.
+func (c *cluster) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // sleep waits and reports whether the run still lasts.
 func (c *cluster) sleep(d time.Duration) bool {
 	if d <= 0 {
@@ -391,6 +402,9 @@
 
 func (c *cluster) startNode(i int) error {
 	nd := c.nodes[i]
+	if c.ended() {
+		return errors.New("the run is over")
+	}
 	logs, err := os.OpenFile(filepath.Join(c.dir, nd.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -410,7 +424,7 @@
 	go func() {
 		_ = cmd.Wait()
 		nd.mu.Lock()
-		byItself := nd.wanted && nd.cmd == cmd
+		byItself := nd.wanted && nd.cmd == cmd && !c.ended()
 		nd.mu.Unlock()
 		if byItself && !c.wasReady.Load() {
 			c.record("controller %s ended by itself before it was ready", nd.name)
@@ -439,10 +453,11 @@
 
 // close ends everything that the run started.
 func (c *cluster) close() {
+	close(c.done)
+	time.Sleep(100 * time.Millisecond) // a controller that is being started again is known by then
 	for i := range c.nodes {
 		c.kill(i)
 	}
-	close(c.done)
 	for _, w := range c.cloud.up() {
 		w.set(func(w *worker) { w.ended = true; go w.server.Close() })
 	}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -24,6 +24,7 @@
 	"onezone":   {run: oneZone},
 	"faulty":    {run: faulty},
 	"upgrade":   {run: upgrade, production: true},
+	"pipeline":  {run: pipeline},
 }
 
 func main() {
