Pass urgency on once per job: a pipeline of 65 jobs ended all controllers

Cause: a job's rank and deadline were passed on to its dependencies depth first, and a job was visited again for every earlier deadline found on another path. With forks that join again the paths double with each fork, so 21 forks cost about 2^23 visits, each of which also went into the change set. Deadlines that lie before the epoch, which three estimates of 1e9 s reach, were never kept, so there every path was followed with equal estimates too.

Change: jobs whose urgency has to be passed on are queued, and passed on together when a scheduling pass or a plan asks for an urgency, the job accepted last first. Dependents are accepted after their dependencies, so each job is visited once. Nothing is added to the change set, since passes read the urgency themselves.

--- a/internal/block/candidates.go
+++ b/internal/block/candidates.go
@@ -70,6 +70,7 @@
 	zones := h.bookedZones()
 	wall := h.Loop.WallNow()
 	for _, j := range h.readyJobs() {
+		h.updateUrgency(j)
 		guaranteed := guarantees.AddJob(j.spec.Team, j.resources.CPUs*float64(j.spec.Tasks-j.done.Len()))
 		j.updateWait(now, time.Duration(wall-j.readyAt)*time.Millisecond)
 		if j.backoffUntil > now {
@@ -88,6 +89,14 @@
 	return out
 }
 
+// updateUrgency updates what a job inherits from the jobs that depend on it.
+func (h *Holder) updateUrgency(j *job) {
+	if e := h.Mirror.Jobs[j.id]; e != nil {
+		urgency := h.Mirror.Urgency(e)
+		j.rank, j.neededBy = max(j.rank, urgency.Rank), urgency.Deadline
+	}
+}
+
 // readyJobs returns the jobs that do not wait for a dependency, the oldest first.
 func (h *Holder) readyJobs() (ready []*job) {
 	for _, j := range h.jobs {
--- a/internal/block/sync.go
+++ b/internal/block/sync.go
@@ -129,7 +129,6 @@
 			h.Log.Info("all dependencies of job are done", "job", id, "waited_ms", at-j.submittedAt)
 		}
 	}
-	j.rank, j.neededBy = max(j.rank, e.Urgency.Rank), e.Urgency.Deadline
 	j.done.Union(e.Done)
 	if !j.pending.Empty() {
 		j.pending = difference(j.pending, e.Done)
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -173,12 +173,13 @@
 		ReadySoon: readySoon, HasDependencies: len(e.Spec.Dependencies) > 0,
 	}
 	j.Overdue = capacity.Overdue(at, wall, j.Running > 0 || !e.Done.Empty())
-	j.Rank = max(j.Rank, e.Urgency.Rank)
-	j.TimeSensitive = e.Urgency.Deadline > 0 || capacity.TimeSensitive(l.Config.Objectives, e.Spec)
+	urgency := l.Mirror.Urgency(e)
+	j.Rank = max(j.Rank, urgency.Rank)
+	j.TimeSensitive = urgency.Deadline > 0 || capacity.TimeSensitive(l.Config.Objectives, e.Spec)
 	if j.Running == 0 {
 		j.Starvation = capacity.StarvationAfter(time.Duration(wall-at) * time.Millisecond)
 	}
-	if due := capacity.DueTimes(l.Config.Objectives, e.Spec, e.AcceptedAt, at, e.Urgency.Deadline); len(due) > 0 {
+	if due := capacity.DueTimes(l.Config.Objectives, e.Spec, e.AcceptedAt, at, urgency.Deadline); len(due) > 0 {
 		j.Deadline = due[0]
 	}
 	return j
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -38,6 +38,7 @@
 		m.versions[key] = core.Revision(e.Version)
 		m.apply(key, e, &t)
 	}
+	m.limitUrgencyQueue()
 	if len(events) > 0 && m.OnChange != nil && m.complete {
 		m.OnChange(t)
 	}
@@ -177,7 +178,7 @@
 		if !known {
 			// Keys are loaded in key order, so dependents may have been applied before this job.
 			for _, dependent := range m.dependents[id] {
-				m.propagateUrgency(dependent, t)
+				m.queueUrgency(m.Jobs[dependent])
 			}
 		}
 	}
--- a/internal/state/dependencies.go
+++ b/internal/state/dependencies.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"lichenstair/internal/core"
-	"lichenstair/internal/placement"
 )
 
 // Jobs may depend on other jobs, which must be done before any of their tasks starts. Whether a job
@@ -17,12 +16,6 @@
 // Nothing here iterates over all jobs for one change, nor recurses: dependency chains may have any
 // length.
 
-// Urgency is the priority that a job inherits from its dependents.
-type Urgency struct {
-	Rank     int           // highest rank of the direct and indirect dependents, see placement.Rank
-	Deadline core.WallTime // wall time by which the job must be done for all dependents to meet their deadlines; 0: none
-}
-
 // Finished reports whether the job is done or cancelled, by its own record or because a dependency
 // was cancelled.
 func (e *JobEntry) Finished() bool { return e.dependencyCancelled || e.Job.Finished() }
@@ -83,7 +76,7 @@
 		m.cancelWithDependents(id, t)
 		return
 	}
-	m.propagateUrgency(id, t)
+	m.queueUrgency(e)
 }
 
 // jobFinished notifies the dependents of a job that it is finished.
@@ -116,44 +109,6 @@
 	}
 }
 
-// propagateUrgency passes a job's rank and deadline on to its direct and indirect dependencies.
-func (m *Mirror) propagateUrgency(id core.JobID, t *ChangeSet) {
-	for stack := []core.JobID{id}; len(stack) > 0; {
-		current := stack[len(stack)-1]
-		stack = stack[:len(stack)-1]
-		e := m.Jobs[current]
-		if e == nil || e.Finished() || e.Spec == nil {
-			continue
-		}
-		rank := max(placement.Rank(e.Spec.Rank), e.Urgency.Rank)
-		deadline := e.Urgency.Deadline
-		if e.Spec.DeadlineS != nil {
-			if ownDeadline := e.AcceptedAt + core.WallTime(*e.Spec.DeadlineS*1000); deadline == 0 || ownDeadline < deadline {
-				deadline = ownDeadline
-			}
-		}
-		if deadline > 0 {
-			deadline -= core.WallTime(e.Spec.EstimateS*1000) + jobTransitionMS
-		}
-		for _, dependencyID := range e.dependencies {
-			dependency := m.Jobs[dependencyID]
-			if dependency == nil || dependency.Finished() || dependency.Urgency.Rank >= rank && (deadline == 0 || dependency.Urgency.Deadline > 0 && dependency.Urgency.Deadline <= deadline) {
-				continue
-			}
-			dependency.Urgency.Rank = max(dependency.Urgency.Rank, rank)
-			if deadline > 0 && (dependency.Urgency.Deadline == 0 || deadline < dependency.Urgency.Deadline) {
-				dependency.Urgency.Deadline = deadline
-			}
-			t.addJob(dependencyID)
-			stack = append(stack, dependencyID)
-		}
-	}
-}
-
-// jobTransitionMS is the time between the end of a job and the start of a dependent, in
-// milliseconds: a report, a record, a scheduling pass and a start command.
-const jobTransitionMS = 2000
-
 // addJob records that a job was changed. Duplicates are avoided only in short lists, since the
 // search is linear.
 func (t *ChangeSet) addJob(id core.JobID) {
--- a/internal/state/dependencies_test.go
+++ b/internal/state/dependencies_test.go
@@ -18,10 +18,18 @@
 }
 
 func (h *jobHistory) put(id string, j Job) {
+	h.m.applyEvents([]api.Event{h.record(id, j)})
+}
+
+// write writes the record of an accepted job, which the mirror does not see yet.
+func (h *jobHistory) write(j Job) { h.record(j.Spec.ID, j) }
+
+// record adds a job record to the history and returns its event.
+func (h *jobHistory) record(id string, j Job) api.Event {
 	h.revision++
 	e := api.Event{Set: KeyJob(core.JobID(id)), Value: Put("", j).Value, Version: h.revision}
 	h.all = append(h.all, e)
-	h.m.applyEvents([]api.Event{e})
+	return e
 }
 
 func acceptedJob(id, rank string, deadline float64, dependencies ...string) Job {
@@ -149,7 +157,7 @@
 	h.put("req-2", acceptedJob("req-2", api.RankStandard, 0, "req-1"))
 	h.put("req-3", acceptedJob("req-3", api.RankHigh, 100, "req-2"))
 	h.put("req-4", acceptedJob("req-4", api.RankProduction, 500, "req-2"))
-	first, second := h.m.Jobs["req-1"].Urgency, h.m.Jobs["req-2"].Urgency
+	first, second := h.m.Urgency(h.m.Jobs["req-1"]), h.m.Urgency(h.m.Jobs["req-2"])
 	if second.Rank != 3 || first.Rank != 3 || second.Deadline != 1000+100_000-10_000-jobTransitionMS || first.Deadline != second.Deadline-10_000-jobTransitionMS {
 		t.Fatalf("inherited urgencies: %+v, %+v", first, second)
 	}
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -48,7 +48,10 @@
 	Jobs              map[core.JobID]*JobEntry
 	CompletionBatches map[int]map[string]*CompletionBatch // by block number and key
 
-	dependents  map[core.JobID][]core.JobID // dependents of each job that is not known to be finished
+	dependents map[core.JobID][]core.JobID // dependents of each job that is not known to be finished
+	// urgencyQueue holds the jobs whose urgency was not passed on to their dependencies yet.
+	urgencyQueue []*JobEntry
+
 	inventories map[int]*Inventory
 	additions   Versioned[AdditionCounter]
 	versions    map[string]core.Revision // version of the last applied change of each key, without jobs
@@ -68,8 +71,9 @@
 	Job
 	Version core.Revision
 	Done    core.IndexSet
-	Urgency Urgency
 
+	urgency             Urgency      // see Mirror.Urgency
+	urgencyQueued       bool         // in the mirror's urgencyQueue
 	dependencies        []core.JobID // jobs that must be done first
 	dependencyCancelled bool         // cancelled because a dependency was
 }
