Links between jobs: ends, cancellations and memory linear in jobs and links

What could be seen: with ten layers of 512 jobs, each of which needs all jobs of the layer before, the ends of all jobs took 9 s of processor time in every controller (3.8 us a job and link, and growing with the width of the layers); deployments give a controller 6 to 24 % of a core. Each link held 73 bytes, so a thousand jobs with as many dependencies as a record takes would exceed the memory of a controller with 70 MB.

Cause: the end of a job listed all its dependents as changed, and each of them looked at all its dependencies again to see whether it was ready. A cancellation put a dependent on its stack once for each cancelled dependency. Change sets of more than 32 jobs were not searched for duplicates. The names of dependencies were held four times: as strings in the specification, as a list of the entry, and in the lists of their dependents.

Change: unfinished jobs that depend on others, or on which others depend, have a node that points to its neighbours and counts its unfinished dependencies. An end lists the dependents that became ready; a cancelled job is marked before it goes on the stack; links of finished jobs are removed in bulk once they are half of a list. The names are dropped from the specification once the links are made. A change set lists each job once.

The tests of random histories check all links after each step.

--- a/internal/block/sync.go
+++ b/internal/block/sync.go
@@ -122,10 +122,10 @@
 		j = h.addJob(id, e)
 	}
 	// Completion is final, so the mirror can only be late in showing that the job may run.
-	if at, ok := h.Mirror.ReadyAt(e); ok && j.blocked {
+	if at, ok := e.ReadyAt(); ok && j.blocked {
 		j.readyAt, j.blocked = at, false
 		h.dirty = true
-		if len(j.spec.Dependencies) > 0 {
+		if e.HasDependencies() {
 			h.Log.Info("all dependencies of job are done", "job", id, "waited_ms", at-j.submittedAt)
 		}
 	}
--- a/internal/leader/plan.go
+++ b/internal/leader/plan.go
@@ -160,8 +160,8 @@
 // so that no machine is kept or rented for it.
 func (l *Leader) describeJob(id core.JobID, e *state.JobEntry, wall core.WallTime, running map[core.JobID]int) *capacity.Job {
 	block, ok := l.Mirror.TeamBlock(e.Team)
-	at, ready := l.Mirror.ReadyAt(e)
-	readySoon := !ready && l.Mirror.ReadySoon(e, func(id core.JobID) bool { return running[id] > 0 })
+	at, ready := e.ReadyAt()
+	readySoon := !ready && e.ReadySoon(func(id core.JobID) bool { return running[id] > 0 })
 	if !ok || !ready && !readySoon {
 		return nil
 	}
@@ -170,7 +170,7 @@
 	}
 	j := &capacity.Job{
 		Job: placement.NewJob(id, at, e.Spec), Block: block, Remaining: e.Tasks - e.Done.Len(), Running: running[id],
-		ReadySoon: readySoon, HasDependencies: len(e.Spec.Dependencies) > 0,
+		ReadySoon: readySoon, HasDependencies: e.HasDependencies(),
 	}
 	j.Overdue = capacity.Overdue(at, wall, j.Running > 0 || !e.Done.Empty())
 	urgency := l.Mirror.Urgency(e)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,7 +151,7 @@
 // onChange handles changes of the mirror.
 func (n *Node) onChange(t state.ChangeSet) {
 	for _, id := range t.Jobs {
-		if e := n.mirror.Jobs[id]; e != nil && e.Spec != nil && n.isReady(e) {
+		if e := n.mirror.Jobs[id]; e != nil && e.Spec != nil && isReady(e) {
 			n.gangShapes.Observe(n.loop.Now(), e.Spec)
 		}
 	}
@@ -168,8 +168,8 @@
 }
 
 // isReady reports whether a job may run: all jobs that it depends on are done.
-func (n *Node) isReady(e *state.JobEntry) bool {
-	_, ok := n.mirror.ReadyAt(e)
+func isReady(e *state.JobEntry) bool {
+	_, ok := e.ReadyAt()
 	return ok
 }
 
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -10,11 +10,37 @@
 )
 
 // ChangeSet lists the records that a batch of events changed: the kinds of which any record was
-// changed, the numbers of the inventories, and the jobs, some of which may be listed twice.
+// changed, the numbers of the inventories, and the jobs. A job is listed if its record or its tasks
+// changed, if it became ready, or if it was cancelled because a dependency was.
 type ChangeSet struct {
 	Leader, Members, Blocks, CompletionBatches bool
 	Inventories                                []int
 	Jobs                                       []core.JobID
+
+	listedJobs map[core.JobID]bool // the same as Jobs, once that is long
+}
+
+// maxSearchedJobs is the length from which ChangeSet.Jobs is no longer searched for duplicates.
+const maxSearchedJobs = 32
+
+// addJob lists a job, once.
+func (t *ChangeSet) addJob(id core.JobID) {
+	if len(t.Jobs) < maxSearchedJobs {
+		if !slices.Contains(t.Jobs, id) {
+			t.Jobs = append(t.Jobs, id)
+		}
+		return
+	}
+	if t.listedJobs == nil {
+		t.listedJobs = map[core.JobID]bool{}
+		for _, listed := range t.Jobs {
+			t.listedJobs[listed] = true
+		}
+	}
+	if !t.listedJobs[id] {
+		t.listedJobs[id] = true
+		t.Jobs = append(t.Jobs, id)
+	}
 }
 
 func (t *ChangeSet) addInventory(inventory int) {
@@ -158,8 +184,7 @@
 	}
 	t.addJob(id)
 	entry := m.Jobs[id]
-	known := entry != nil
-	if !known {
+	if entry == nil {
 		entry = m.newEntry(id)
 	}
 	if entry.Job.Finished() && entry.Tasks > 0 && !record.Finished() {
@@ -169,35 +194,16 @@
 	entry.Job, entry.Version = record, core.Revision(e.Version)
 	switch {
 	case record.Finished():
-		entry.Spec, entry.Done, entry.dependencies = nil, core.IndexSet{}, nil
-		m.jobFinished(id, entry, t)
+		entry.Spec, entry.Done = nil, core.IndexSet{}
+		m.jobFinished(entry, t)
 	case entry.dependencyCancelled:
 		entry.Spec = nil
 	default:
 		m.linkDependencies(id, entry, t)
-		if !known {
-			// Keys are loaded in key order, so dependents may have been applied before this job.
-			for _, dependent := range m.dependents[id] {
-				m.queueUrgency(m.Jobs[dependent])
-			}
-		}
 	}
 	delete(m.versions, key) // the entry holds the version itself
 }
 
-// newEntry creates the entry of a job and marks the tasks that existing completion records name as
-// done.
-func (m *Mirror) newEntry(id core.JobID) *JobEntry {
-	entry := &JobEntry{}
-	m.Jobs[id] = entry
-	for _, batches := range m.CompletionBatches {
-		for _, batch := range batches {
-			entry.Done.Union(batch.Done[id])
-		}
-	}
-	return entry
-}
-
 func (m *Mirror) applyCompletionBatch(key string, e api.Event, t *ChangeSet) {
 	number := blockOfCompletionBatch(key)
 	if e.Remove != "" {
@@ -216,7 +222,7 @@
 	for id, set := range record.Done {
 		if entry := m.Jobs[id]; entry != nil && !entry.Finished() {
 			entry.Done.Union(set)
-			t.Jobs = append(t.Jobs, id)
+			t.addJob(id)
 		}
 	}
 }
--- a/internal/state/dependencies.go
+++ b/internal/state/dependencies.go
@@ -14,7 +14,28 @@
 // have been done.
 //
 // Nothing here iterates over all jobs for one change, nor recurses: dependency chains may have any
-// length.
+// length. Each link between two jobs is followed a constant number of times: when it is made, when
+// the dependency ends and when the dependent ends.
+
+// dependencyNode is an unfinished job that depends on other jobs, or that others depend on. It is
+// dropped once the job is finished.
+type dependencyNode struct {
+	id core.JobID
+	// entry is nil until the job's record is applied: keys are loaded in key order, so a
+	// dependent may come first.
+	entry *JobEntry
+	// dependencies holds the dependencies that are not done, and at most as many that are.
+	dependencies []*dependencyNode
+	unfinished   int           // number of dependencies that are not done
+	readyAt      core.WallTime // when the last of the finished dependencies was done
+	linked       bool          // the job's dependencies were read from its record
+	// dependents holds the dependents that are not finished, and at most as many that are.
+	dependents         []*dependencyNode
+	finishedDependents int // number of finished jobs in dependents
+	dropped            bool
+	urgency            Urgency // see Mirror.Urgency
+	urgencyQueued      bool    // in the mirror's urgencyQueue
+}
 
 // Finished reports whether the job is done or cancelled, by its own record or because a dependency
 // was cancelled.
@@ -29,90 +50,176 @@
 	return e.dependencyCancelled && e.Phase != JobCancelled
 }
 
+// HasDependencies reports whether an unfinished job was submitted with dependencies.
+func (e *JobEntry) HasDependencies() bool { return e.node != nil && e.node.linked }
+
 // ReadyAt returns the time from which a job may run, and false while a dependency is not durably
 // done.
-func (m *Mirror) ReadyAt(e *JobEntry) (core.WallTime, bool) {
-	at := e.AcceptedAt
-	for _, id := range e.dependencies {
-		dependency := m.Jobs[id]
-		if dependency == nil || dependency.Phase != JobDone {
-			return 0, false
-		}
-		at = max(at, dependency.EndedAt)
+func (e *JobEntry) ReadyAt() (core.WallTime, bool) {
+	if e.node == nil {
+		return e.AcceptedAt, true
 	}
-	return at, true
+	return max(e.AcceptedAt, e.node.readyAt), e.node.unfinished == 0
 }
 
 // ReadySoon reports whether all dependencies of a waiting job are done or have started. started
 // reports whether the caller knows that a job has started.
-func (m *Mirror) ReadySoon(e *JobEntry, started func(core.JobID) bool) bool {
-	for _, id := range e.dependencies {
-		dependency := m.Jobs[id]
-		if dependency == nil || dependency.Phase != JobDone && !started(id) && dependency.Done.Empty() {
-			return false
+func (e *JobEntry) ReadySoon(started func(core.JobID) bool) bool {
+	if e.node == nil {
+		return true
+	}
+	return !slices.ContainsFunc(e.node.dependencies, func(dependency *dependencyNode) bool {
+		return !dependency.done() && (dependency.entry == nil || dependency.entry.Done.Empty() && !started(dependency.id))
+	})
+}
+
+// done reports whether the job is durably done.
+func (n *dependencyNode) done() bool { return n.entry != nil && n.entry.Phase == JobDone }
+
+// newEntry creates the entry of a job and marks the tasks that existing completion records name as
+// done.
+func (m *Mirror) newEntry(id core.JobID) *JobEntry {
+	entry := &JobEntry{}
+	if node := m.awaited[id]; node != nil {
+		entry.node, node.entry = node, entry
+		delete(m.awaited, id)
+	}
+	m.Jobs[id] = entry
+	for _, batches := range m.CompletionBatches {
+		for _, batch := range batches {
+			entry.Done.Union(batch.Done[id])
 		}
 	}
-	return true
+	return entry
 }
 
-// linkDependencies registers the dependencies of a job that is not finished.
+// nodeOf returns the node of a job that is not known to be finished.
+func (m *Mirror) nodeOf(id core.JobID) *dependencyNode {
+	e := m.Jobs[id]
+	if e == nil {
+		node := m.awaited[id]
+		if node == nil {
+			node = &dependencyNode{id: id}
+			m.awaited[id] = node
+		}
+		return node
+	}
+	if e.node == nil {
+		e.node = &dependencyNode{id: id, entry: e}
+	}
+	return e.node
+}
+
+// linkDependencies links a job that is not finished to its dependencies, and takes their names out of
+// its specification, where they would need several times the memory.
 func (m *Mirror) linkDependencies(id core.JobID, e *JobEntry, t *ChangeSet) {
-	if e.dependencies != nil || e.Spec == nil || len(e.Spec.Dependencies) == 0 {
+	if e.Spec == nil || len(e.Spec.Dependencies) == 0 || e.HasDependencies() {
 		return
 	}
-	for _, name := range e.Spec.Dependencies {
-		e.dependencies = append(e.dependencies, core.JobID(name))
-	}
+	node := m.nodeOf(id)
+	node.linked = true
+	node.dependencies = make([]*dependencyNode, 0, len(e.Spec.Dependencies))
 	cancelled := false
-	for _, dependencyID := range e.dependencies {
-		dependency := m.Jobs[dependencyID]
-		if dependency == nil || !dependency.Finished() {
-			m.dependents[dependencyID] = append(m.dependents[dependencyID], id)
-			continue
+	for _, name := range e.Spec.Dependencies {
+		dependency := m.Jobs[core.JobID(name)]
+		switch {
+		case dependency != nil && dependency.Cancelled():
+			cancelled = true
+		case dependency != nil && dependency.Finished():
+			node.readyAt = max(node.readyAt, dependency.EndedAt)
+		default:
+			node.addDependency(m.nodeOf(core.JobID(name)))
 		}
-		cancelled = cancelled || dependency.Cancelled()
 	}
+	e.Spec.Dependencies = nil
 	if cancelled {
-		m.cancelWithDependents(id, t)
+		m.cancelWithDependents([]*dependencyNode{node}, t)
 		return
 	}
-	m.queueUrgency(e)
+	m.queueUrgency(node)
 }
 
-// jobFinished notifies the dependents of a job that it is finished.
-func (m *Mirror) jobFinished(id core.JobID, e *JobEntry, t *ChangeSet) {
-	dependents := m.dependents[id]
-	delete(m.dependents, id)
+func (n *dependencyNode) addDependency(dependency *dependencyNode) {
+	n.dependencies = append(n.dependencies, dependency)
+	n.unfinished++
+	dependency.dependents = append(dependency.dependents, n)
+}
+
+// jobFinished drops a finished job from the graph and notifies its dependents.
+func (m *Mirror) jobFinished(e *JobEntry, t *ChangeSet) {
+	node := e.node
+	if node == nil {
+		return
+	}
+	dependents := node.dependents
+	node.drop()
+	if e.Cancelled() {
+		m.cancelWithDependents(dependents, t)
+		return
+	}
 	for _, dependent := range dependents {
-		if e.Cancelled() {
-			m.cancelWithDependents(dependent, t)
-		} else {
-			t.addJob(dependent) // it may be ready now
+		if !dependent.dropped && dependent.dependencyDone(e.EndedAt) {
+			t.addJob(dependent.id)
+		}
+	}
+}
+
+// dependencyDone notes that a dependency was done at the given time, and reports whether it was the
+// last one.
+func (n *dependencyNode) dependencyDone(at core.WallTime) bool {
+	n.unfinished--
+	n.readyAt = max(n.readyAt, at)
+	switch {
+	case n.unfinished == 0:
+		n.dependencies = nil
+	case n.unfinished < len(n.dependencies)/2:
+		n.dependencies = slices.DeleteFunc(n.dependencies, (*dependencyNode).done)
+	}
+	return n.unfinished == 0
+}
+
+// dependentFinished notes that a dependent is finished.
+func (n *dependencyNode) dependentFinished() {
+	n.finishedDependents++
+	if n.finishedDependents > len(n.dependents)/2 {
+		n.dependents = slices.DeleteFunc(n.dependents, func(dependent *dependencyNode) bool { return dependent.dropped })
+		n.finishedDependents = 0
+	}
+}
+
+// drop removes a finished job from the graph.
+func (n *dependencyNode) drop() {
+	n.dropped = true
+	for _, dependency := range n.dependencies {
+		if !dependency.dropped {
+			dependency.dependentFinished()
 		}
 	}
+	n.dependencies, n.dependents, n.entry.node = nil, nil, nil
 }
 
-// cancelWithDependents marks a job and all its direct and indirect dependents as cancelled because
+// cancelWithDependents marks jobs and all their direct and indirect dependents as cancelled because
 // a dependency was.
-func (m *Mirror) cancelWithDependents(id core.JobID, t *ChangeSet) {
-	for stack := []core.JobID{id}; len(stack) > 0; {
-		current := stack[len(stack)-1]
+func (m *Mirror) cancelWithDependents(jobs []*dependencyNode, t *ChangeSet) {
+	for stack := markCancelled(nil, jobs); len(stack) > 0; {
+		node := stack[len(stack)-1]
 		stack = stack[:len(stack)-1]
-		e := m.Jobs[current]
-		if e == nil || e.Finished() {
-			continue
-		}
-		e.dependencyCancelled, e.Spec, e.dependencies, e.Done = true, nil, nil, core.IndexSet{}
-		t.addJob(current)
-		stack = append(stack, m.dependents[current]...)
-		delete(m.dependents, current)
+		stack = markCancelled(stack, node.dependents)
+		node.entry.Spec, node.entry.Done = nil, core.IndexSet{}
+		t.addJob(node.id)
+		node.drop()
 	}
 }
 
-// addJob records that a job was changed. Duplicates are avoided only in short lists, since the
-// search is linear.
-func (t *ChangeSet) addJob(id core.JobID) {
-	if n := len(t.Jobs); n > 32 || !slices.Contains(t.Jobs, id) {
-		t.Jobs = append(t.Jobs, id)
+// markCancelled marks those jobs as cancelled that are not finished, and appends them to the stack.
+// They are marked before they are put there, so that each is there once however many of its
+// dependencies are cancelled.
+func markCancelled(stack, jobs []*dependencyNode) []*dependencyNode {
+	for _, node := range jobs {
+		if !node.dropped && !node.entry.Finished() {
+			node.entry.dependencyCancelled = true
+			stack = append(stack, node)
+		}
 	}
+	return stack
 }
--- a/internal/state/dependencies_bench_test.go
+++ b/internal/state/dependencies_bench_test.go
@@ -149,7 +149,7 @@
 	m.OnChange = func(t ChangeSet) {
 		for _, id := range t.Jobs {
 			if e := m.Jobs[id]; e.Spec != nil {
-				m.ReadyAt(e)
+				e.ReadyAt()
 			}
 		}
 	}
--- a/internal/state/dependencies_test.go
+++ b/internal/state/dependencies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,6 +94,7 @@
 				jobs[id].phase = JobDone
 				h.put(id, acceptedJob(id, api.RankStandard, 0).End(JobDone, core.WallTime(h.revision)))
 			}
+			checkLinks(t, h.m)
 		}
 		loaded := newTestMirror(0)
 		last := map[string]api.Event{}
@@ -105,9 +107,10 @@
 		}
 		loaded.applyEvents(page)
 		for _, m := range []*Mirror{h.m, loaded} {
+			checkLinks(t, m)
 			for _, id := range ids {
 				e := m.Jobs[core.JobID(id)]
-				_, mayRun := m.ReadyAt(e)
+				_, mayRun := e.ReadyAt()
 				if e.Cancelled() != cancelled(id) || !e.Finished() && mayRun != ready(id) || (e.Phase == JobDone) != (jobs[id].phase == JobDone) {
 					t.Fatalf("seed %d: %s: cancelled %v, ready %v; want %v, %v", seed, id, e.Cancelled(), mayRun, cancelled(id), ready(id))
 				}
@@ -116,6 +119,37 @@
 	}
 }
 
+// checkLinks checks that the links of all jobs agree with each other and with the jobs' states.
+func checkLinks(t *testing.T, m *Mirror) {
+	t.Helper()
+	for id, e := range m.Jobs {
+		if e.node == nil {
+			continue
+		}
+		n := e.node
+		unfinished, finished := 0, 0
+		for _, dependency := range n.dependencies {
+			if !dependency.done() {
+				unfinished++
+				if !slices.Contains(dependency.dependents, n) {
+					t.Fatalf("%s is missing from the dependents of %s", id, dependency.id)
+				}
+			}
+		}
+		for _, dependent := range n.dependents {
+			if dependent.dropped {
+				finished++
+			} else if !slices.Contains(dependent.dependencies, n) {
+				t.Fatalf("%s is missing from the dependencies of %s", id, dependent.id)
+			}
+		}
+		if e.Finished() || n.entry != e || n.unfinished != unfinished || n.finishedDependents != finished || finished > len(n.dependents)/2 || len(n.dependencies) > 2*unfinished+1 {
+			t.Fatalf("%s: finished %v, %d dependencies of which %d are unfinished and %d counted, %d dependents of which %d are finished and %d counted",
+				id, e.Finished(), len(n.dependencies), unfinished, n.unfinished, len(n.dependents), finished, n.finishedDependents)
+		}
+	}
+}
+
 // The cost of a change is proportional to the jobs that it affects, and long dependency chains do
 // not overflow the stack.
 func TestLongChainAndManyDependents(t *testing.T) {
@@ -140,8 +174,8 @@
 				t.Fatalf("wide %v: job %d is not cancelled", wide, i)
 			}
 		}
-		if len(h.m.dependents) > 0 {
-			t.Fatalf("wide %v: dependents still registered for %d finished jobs", wide, len(h.m.dependents))
+		if n := linkedJobs(h.m); n > 0 {
+			t.Fatalf("wide %v: %d finished jobs are still linked", wide, n)
 		}
 		if d := time.Since(began); d > 20*time.Second {
 			t.Fatalf("wide %v: took %s, want at most 20s", wide, d)
@@ -149,6 +183,16 @@
 	}
 }
 
+// linkedJobs counts the jobs that the mirror holds as unfinished dependencies or dependents.
+func linkedJobs(m *Mirror) (n int) {
+	for _, e := range m.Jobs {
+		if e.node != nil {
+			n++
+		}
+	}
+	return n + len(m.awaited)
+}
+
 // A job inherits the highest rank of its dependents, and its deadline is theirs less the estimates
 // of the jobs between.
 func TestUrgencyIsInherited(t *testing.T) {
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -48,13 +48,11 @@
 	Jobs              map[core.JobID]*JobEntry
 	CompletionBatches map[int]map[string]*CompletionBatch // by block number and key
 
-	dependents map[core.JobID][]core.JobID // dependents of each job that is not known to be finished
-	// urgencyQueue holds the jobs whose urgency was not passed on to their dependencies yet.
-	urgencyQueue []*JobEntry
-
-	inventories map[int]*Inventory
-	additions   Versioned[AdditionCounter]
-	versions    map[string]core.Revision // version of the last applied change of each key, without jobs
+	awaited      map[core.JobID]*dependencyNode // dependencies whose records were not applied yet
+	urgencyQueue []*dependencyNode              // jobs whose urgency was not passed on to their dependencies yet
+	inventories  map[int]*Inventory
+	additions    Versioned[AdditionCounter]
+	versions     map[string]core.Revision // version of the last applied change of each key, without jobs
 
 	// OnChange is called after a batch of events was applied, with the records that it changed.
 	OnChange func(ChangeSet)
@@ -72,10 +70,8 @@
 	Version core.Revision
 	Done    core.IndexSet
 
-	urgency             Urgency      // see Mirror.Urgency
-	urgencyQueued       bool         // in the mirror's urgencyQueue
-	dependencies        []core.JobID // jobs that must be done first
-	dependencyCancelled bool         // cancelled because a dependency was
+	node                *dependencyNode // links an unfinished job to its dependencies and dependents; nil if it has none
+	dependencyCancelled bool            // cancelled because a dependency was
 }
 
 const (
@@ -103,7 +99,7 @@
 	m.Members = map[core.Host]Versioned[Member]{}
 	m.Blocks = map[int]Versioned[*Block]{}
 	if m.Jobs == nil {
-		m.Jobs, m.dependents = map[core.JobID]*JobEntry{}, map[core.JobID][]core.JobID{}
+		m.Jobs, m.awaited = map[core.JobID]*JobEntry{}, map[core.JobID]*dependencyNode{}
 	}
 	m.CompletionBatches = map[int]map[string]*CompletionBatch{}
 	m.versions = map[string]core.Revision{}
--- a/internal/state/previous_test.go
+++ b/internal/state/previous_test.go
@@ -29,7 +29,7 @@
 	}
 	m.applyEvents(events)
 	job := m.Jobs["req-000412"]
-	if at, ok := m.ReadyAt(job); !ok || at != 1700000000123 || job.Finished() || job.Done.Len() != 3 || *job.Spec.DeadlineS != 120.5 {
+	if at, ok := job.ReadyAt(); !ok || at != 1700000000123 || job.Finished() || job.Done.Len() != 3 || *job.Spec.DeadlineS != 120.5 {
 		t.Fatalf("accepted job read as %+v", job)
 	}
 	if !m.Jobs["req-000398"].Finished() || m.Jobs["req-000398"].Cancelled() || !m.Jobs["req-000399"].Cancelled() {
--- a/internal/state/urgency.go
+++ b/internal/state/urgency.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"lichenstair/internal/core"
 	"lichenstair/internal/placement"
@@ -31,16 +32,18 @@
 // Urgency returns the priority that a job inherits from its direct and indirect dependents.
 func (m *Mirror) Urgency(e *JobEntry) Urgency {
 	m.propagateUrgencies()
-	return e.urgency
+	if e.node == nil {
+		return Urgency{}
+	}
+	return e.node.urgency
 }
 
 // queueUrgency notes that a job's urgency has to be passed on to its dependencies.
-func (m *Mirror) queueUrgency(e *JobEntry) {
-	if e == nil || e.urgencyQueued || len(e.dependencies) == 0 {
-		return
+func (m *Mirror) queueUrgency(node *dependencyNode) {
+	if !node.urgencyQueued && len(node.dependencies) > 0 {
+		node.urgencyQueued = true
+		m.urgencyQueue = append(m.urgencyQueue, node)
 	}
-	e.urgencyQueued = true
-	m.urgencyQueue = append(m.urgencyQueue, e)
 }
 
 // limitUrgencyQueue keeps the queue short on controllers that never ask for an urgency.
@@ -53,24 +56,18 @@
 // propagateUrgencies passes the urgencies of all queued jobs on to their direct and indirect
 // dependencies.
 func (m *Mirror) propagateUrgencies() {
-	if len(m.urgencyQueue) == 0 {
-		return
-	}
-	queue := urgencyHeap(m.urgencyQueue)
+	queue := urgencyHeap(slices.DeleteFunc(m.urgencyQueue, func(node *dependencyNode) bool { return node.dropped }))
 	m.urgencyQueue = nil
 	heap.Init(&queue)
 	for len(queue) > 0 {
-		e := heap.Pop(&queue).(*JobEntry)
-		e.urgencyQueued = false
-		if e.Finished() || e.Spec == nil {
-			continue
+		node := heap.Pop(&queue).(*dependencyNode)
+		node.urgencyQueued = false
+		if node.entry.Spec == nil {
+			continue // only a malformed record has none
 		}
-		passed := e.urgencyOfDependencies()
-		for _, id := range e.dependencies {
-			dependency := m.Jobs[id]
-			// A dependency is always accepted before its dependents. The comparison ends the
-			// loop even if malformed records depend on each other.
-			if dependency == nil || dependency.Finished() || dependency.Version >= e.Version || !dependency.urgency.raise(passed) {
+		passed := node.urgencyOfDependencies()
+		for _, dependency := range node.dependencies {
+			if dependency.dropped || !node.acceptedAfter(dependency) || !dependency.urgency.raise(passed) {
 				continue
 			}
 			if !dependency.urgencyQueued && len(dependency.dependencies) > 0 {
@@ -81,12 +78,20 @@
 	}
 }
 
+// acceptedAfter reports whether a job was accepted after one of its dependencies, as every job is.
+// Malformed records could depend on each other, which must not end in an endless loop. A dependency
+// whose record is not applied yet passes nothing on.
+func (n *dependencyNode) acceptedAfter(dependency *dependencyNode) bool {
+	return dependency.entry == nil || dependency.entry.Version < n.entry.Version
+}
+
 // urgencyOfDependencies returns the urgency that a job passes on to its dependencies.
-func (e *JobEntry) urgencyOfDependencies() Urgency {
-	passed := Urgency{Rank: placement.Rank(e.Spec.Rank), Deadline: e.ownDeadline()}
-	passed.raise(e.urgency)
+func (n *dependencyNode) urgencyOfDependencies() Urgency {
+	spec := n.entry.Spec
+	passed := Urgency{Rank: placement.Rank(spec.Rank), Deadline: n.entry.ownDeadline()}
+	passed.raise(n.urgency)
 	if passed.Deadline > 0 {
-		passed.Deadline = max(earliestDeadline, passed.Deadline-core.WallTime(e.Spec.EstimateS*1000)-jobTransitionMS)
+		passed.Deadline = max(earliestDeadline, passed.Deadline-core.WallTime(spec.EstimateS*1000)-jobTransitionMS)
 	}
 	return passed
 }
@@ -111,20 +116,20 @@
 
 // urgencyHeap orders jobs so that the one accepted last comes first. Dependents are accepted after
 // their dependencies, so nothing can change a job's urgency any more once it is at the front.
-type urgencyHeap []*JobEntry
+type urgencyHeap []*dependencyNode
 
 func (h urgencyHeap) Len() int           { return len(h) }
-func (h urgencyHeap) Less(a, b int) bool { return h[a].Version > h[b].Version }
+func (h urgencyHeap) Less(a, b int) bool { return h[a].entry.Version > h[b].entry.Version }
 func (h urgencyHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
 
 // Push implements heap.Interface.
-func (h *urgencyHeap) Push(e any) { *h = append(*h, e.(*JobEntry)) }
+func (h *urgencyHeap) Push(node any) { *h = append(*h, node.(*dependencyNode)) }
 
 // Pop implements heap.Interface.
 func (h *urgencyHeap) Pop() any {
 	last := len(*h) - 1
-	e := (*h)[last]
+	node := (*h)[last]
 	(*h)[last] = nil
 	*h = (*h)[:last]
-	return e
+	return node
 }
