Block: a job's record no longer walks and sorts all machines of its block

Cause: a new job looked for attempts of its tasks on all machines, and every batch of records collected and sorted the names of all machines, three times for the start and end of a job.

Change: attempts whose job is not known are kept by job, so that a new job finds them, and the ordered list of machines is kept until one joins or leaves.

The random histories of the block check the new index after each step.

--- a/internal/block/answers.go
+++ b/internal/block/answers.go
@@ -108,8 +108,7 @@
 // answerHeldReports answers the held reports of machines for which there are commands, and
 // prompts machines with planned starts whose next report is far away.
 func (h *Holder) answerHeldReports() {
-	for _, id := range core.SortedKeys(h.machines) {
-		m := h.machines[id]
+	for _, m := range h.orderedMachines() {
 		if m.heldReport == nil {
 			h.prompt(m)
 		} else if h.hasUrgentCommands(m) {
--- a/internal/block/attempts.go
+++ b/internal/block/attempts.go
@@ -1,6 +1,8 @@
 package block
 
 import (
+	"slices"
+
 	"lichenstair/internal/core"
 )
 
@@ -9,6 +11,24 @@
 	s.machine.addSlot(s)
 	if j := h.jobs[s.task.Job]; j != nil {
 		j.addAttempt(s)
+		return
+	}
+	if h.attemptsWithoutJob == nil {
+		h.attemptsWithoutJob = map[core.JobID][]*slot{}
+	}
+	h.attemptsWithoutJob[s.task.Job] = append(h.attemptsWithoutJob[s.task.Job], s)
+}
+
+// forget removes an attempt that is no longer on its machine from those without a job.
+func (h *Holder) forget(s *slot) {
+	attempts := h.attemptsWithoutJob[s.task.Job]
+	i := slices.Index(attempts, s)
+	switch {
+	case i < 0:
+	case len(attempts) == 1:
+		delete(h.attemptsWithoutJob, s.task.Job)
+	default:
+		h.attemptsWithoutJob[s.task.Job] = slices.Delete(attempts, i, i+1)
 	}
 }
 
@@ -37,6 +57,7 @@
 func (h *Holder) releaseAttempt(s *slot, reason releaseReason) {
 	was := s.state
 	s.machine.removeSlot(s)
+	h.forget(s)
 	h.setSlotState(s, off)
 	h.Metrics.Releases.WithLabelValues(string(reason)).Inc()
 	if was != planned && was != exited && reason.mayLoseWork() {
--- a/internal/block/bench_test.go
+++ b/internal/block/bench_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"lichenstair/api"
 	"lichenstair/internal/core"
+	"lichenstair/internal/state"
 )
 
 // BenchmarkReport measures decoding and applying the report of a machine with 32 tasks.
@@ -29,3 +31,61 @@
 		b.Fatal(len(m.slots))
 	}
 }
+
+// BenchmarkJobChange measures what the record of one job sets off in the holder of a block with
+// many machines: a new job, and the end of a job.
+func BenchmarkJobChange(b *testing.B) {
+	for _, machines := range []int{100, 400, 1600} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) { benchmarkJobChange(b, machines) })
+	}
+}
+
+func benchmarkJobChange(b *testing.B, machines int) {
+	change := jobChange(machines)
+	for b.Loop() {
+		change()
+	}
+}
+
+// jobChange returns a function that shows a holder of a busy block the record of a new job and then
+// that of its end.
+func jobChange(machines int) func() {
+	const tasksPerMachine = 8
+	h, _ := recoveringHolder(api.Job{ID: "req-000001", Team: "red", Form: api.FormArray, Tasks: machines * tasksPerMachine, CPUs: 1}, machines)
+	for i, id := range core.SortedKeys(h.machines) {
+		for task := range tasksPerMachine {
+			key := slotKey{core.TaskID{Job: "req-000001", Index: i*tasksPerMachine + task}, 7}
+			h.book(&slot{slotKey: key, machine: h.machines[id], state: present, team: "red"})
+		}
+	}
+	spec := api.Job{ID: "req-000002", Team: "red", Form: api.FormArray, Tasks: 1, CPUs: 1}
+	accepted := &state.JobEntry{Job: state.Job{Phase: state.JobAccepted, Tasks: 1, Team: "red", CPUs: 1, Spec: &spec}}
+	finished := &state.JobEntry{Job: accepted.Job.End(state.JobDone, 0)}
+	change := state.ChangeSet{Jobs: []core.JobID{"req-000002"}}
+	h.Mirror.Blocks[h.number] = state.Versioned[*state.Block]{Record: &state.Block{Number: h.number, Teams: []string{"red"}}}
+	return func() {
+		for _, entry := range []*state.JobEntry{accepted, finished} {
+			h.Mirror.Jobs["req-000002"] = entry
+			h.ApplyChanges(change)
+		}
+	}
+}
+
+// The record of a job costs a holder no memory for each machine of its block: the names of all machines
+// were collected and sorted three times for each record.
+func TestJobRecordCostsDoNotGrowWithMachines(t *testing.T) {
+	bytes := func(machines int) uint64 {
+		change := jobChange(machines)
+		change()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range 100 {
+			change()
+		}
+		runtime.ReadMemStats(&after)
+		return (after.TotalAlloc - before.TotalAlloc) / 100
+	}
+	if few, many := bytes(100), bytes(1600); many > 2*few {
+		t.Fatalf("%d bytes allocated for the records of a job beside 1,600 machines, %d beside 100", many, few)
+	}
+}
--- a/internal/block/hints.go
+++ b/internal/block/hints.go
@@ -12,12 +12,12 @@
 	for _, j := range h.jobs {
 		hint.WaitingTasks += max(j.waitingTasks(), 0)
 	}
-	for _, id := range core.SortedKeys(h.machines) {
-		switch m := h.machines[id]; {
+	for _, m := range h.orderedMachines() {
+		switch {
 		case m.state == live:
 			hint.LiveMachines++
 			if m.empty() {
-				hint.IdleMachines = append(hint.IdleMachines, id)
+				hint.IdleMachines = append(hint.IdleMachines, m.id)
 			}
 		case m.state == silent || m.state == unsure || m.state == lapsed && m.inUse:
 			hint.SilentMachines++
--- a/internal/block/history_test.go
+++ b/internal/block/history_test.go
@@ -185,6 +185,13 @@
 			known++
 		}
 	}
+	for id, attempts := range h.attemptsWithoutJob {
+		for _, s := range attempts {
+			if h.jobs[id] != nil || s.machine.slots[s.slotKey] != s {
+				t.Fatalf("%v counts as an attempt without a job", s.slotKey)
+			}
+		}
+	}
 	if booked != known {
 		t.Fatalf("%d attempts booked on machines, %d known to their jobs", booked, known)
 	}
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -53,19 +53,21 @@
 	attemptSeq uint64    // number of attempts planned under this grant
 	batchSeq   int       // number of completion batches written under this grant
 
-	machines        map[core.MachineID]*machine
-	jobs            map[core.JobID]*job
-	teams           map[string]*placement.Team // as of the last pass (run of the placement), nil before the first
-	dirty           bool                       // something has changed since the last pass
-	passScheduled   bool                       // a pass is scheduled
-	lastPass        core.Time
-	passInterval    time.Duration // least time from the begin of the last pass to that of the next
-	nextGroup       int           // where the next pass goes on, see placement.Result
-	resumedAt       core.Time     // when the process last resumed after a pause
-	reevaluateAt    core.Time     // when to run a pass again although nothing has changed
-	writeInFlight   bool          // a write of records has not been confirmed yet
-	allocatingTerms bool          // terms are being allocated
-	reservedTerms   struct {      // terms allocated in advance, to prompt machines with
+	machines           map[core.MachineID]*machine
+	sortedMachines     []*machine // cache of orderedMachines, nil after a machine was added or removed
+	jobs               map[core.JobID]*job
+	attemptsWithoutJob map[core.JobID][]*slot     // attempts on the machines whose jobs are not in jobs
+	teams              map[string]*placement.Team // as of the last pass (run of the placement), nil before the first
+	dirty              bool                       // something has changed since the last pass
+	passScheduled      bool                       // a pass is scheduled
+	lastPass           core.Time
+	passInterval       time.Duration // least time from the begin of the last pass to that of the next
+	nextGroup          int           // where the next pass goes on, see placement.Result
+	resumedAt          core.Time     // when the process last resumed after a pause
+	reevaluateAt       core.Time     // when to run a pass again although nothing has changed
+	writeInFlight      bool          // a write of records has not been confirmed yet
+	allocatingTerms    bool          // terms are being allocated
+	reservedTerms      struct {      // terms allocated in advance, to prompt machines with
 		next, last core.Term // the reserved terms; none if next is above last
 		exhausted  bool      // a machine needs a term and no suitable one is left
 	}
@@ -136,8 +138,8 @@
 // Release stops the holder; held reports are refused.
 func (h *Holder) Release() {
 	h.setState(released)
-	for _, id := range core.SortedKeys(h.machines) {
-		h.answerHeldReport(h.machines[id])
+	for _, m := range h.orderedMachines() {
+		h.answerHeldReport(m)
 	}
 }
 
@@ -190,8 +192,7 @@
 	w := h.Config.Workers
 	maxSilence := h.silenceTimeout()
 	provenAt := h.provenHolderAt()
-	for _, id := range core.SortedKeys(h.machines) {
-		m := h.machines[id]
+	for _, m := range h.orderedMachines() {
 		if (!m.fenced && m.state != lapsed || m.unreachable && m.state == live) && now >= m.nextQuery {
 			h.fence(m)
 		}
--- a/internal/block/machine.go
+++ b/internal/block/machine.go
@@ -90,6 +90,19 @@
 	return n
 }
 
+// orderedMachines returns the block's machines ordered by their ids. Every change of a job's record
+// reads this list, so it is cached until a machine joins or leaves. A list that was returned earlier is
+// not modified.
+func (h *Holder) orderedMachines() []*machine {
+	if h.sortedMachines == nil {
+		h.sortedMachines = make([]*machine, 0, len(h.machines))
+		for _, id := range core.SortedKeys(h.machines) {
+			h.sortedMachines = append(h.sortedMachines, h.machines[id])
+		}
+	}
+	return h.sortedMachines
+}
+
 // addSlot and removeSlot are the only functions that change the set of slots.
 func (m *machine) addSlot(s *slot) {
 	m.slots[s.slotKey] = s
--- a/internal/block/pass.go
+++ b/internal/block/pass.go
@@ -94,8 +94,8 @@
 	for _, t := range h.Mirror.Teams(h.Config.Teams) {
 		teams[t.Name] = &placement.Team{Quota: placement.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
-	for _, id := range core.SortedKeys(h.machines) {
-		for _, s := range h.machines[id].orderedSlots() {
+	for _, m := range h.orderedMachines() {
+		for _, s := range m.orderedSlots() {
 			if team := teams[s.team]; team != nil && s.booked() {
 				team.Used = team.Used.Add(s.resources)
 			}
@@ -106,8 +106,8 @@
 
 // usableMachines describes, for the placement, the machines on which tasks can be started.
 func (h *Holder) usableMachines(now core.Time, gangKinds capacity.GangKinds) (out []*placement.Machine) {
-	for _, id := range core.SortedKeys(h.machines) {
-		if m := h.machines[id]; h.usable(m) {
+	for _, m := range h.orderedMachines() {
+		if h.usable(m) {
 			out = append(out, h.describeMachine(m, now, gangKinds))
 		}
 	}
--- a/internal/block/sync.go
+++ b/internal/block/sync.go
@@ -41,14 +41,14 @@
 		}
 		m.inUse, m.draining, m.returnRequested, m.term = r.InUse, r.Draining, r.ReturnRequested, max(m.term, r.Term)
 	}
-	for _, id := range core.SortedKeys(h.machines) {
-		m := h.machines[id]
-		if !listed[id] {
+	for _, m := range h.orderedMachines() {
+		if !listed[m.id] {
 			if !m.empty() {
-				h.Metrics.Violated(h.Log, "machine left the block with attempts booked on it", "machine", id, "attempts", len(m.slots))
+				h.Metrics.Violated(h.Log, "machine left the block with attempts booked on it", "machine", m.id, "attempts", len(m.slots))
 			}
 			h.releaseAllAttempts(m, releaseMachineLeft)
-			delete(h.machines, id)
+			delete(h.machines, m.id)
+			h.sortedMachines = nil
 			h.answerHeldReport(m)
 		}
 	}
@@ -86,6 +86,7 @@
 		m.lastRenewal = now.Add(maxContactAge(h.Config.Workers))
 	}
 	h.machines[r.ID] = m
+	h.sortedMachines = nil
 	h.dirty = true
 	h.fence(m)
 	return m
@@ -153,13 +154,10 @@
 	h.Log.Info("job added for placement",
 		"job", id, "class", j.spec.Class, "team", j.spec.Team, "form", j.spec.Form, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs, "memory_gb", j.spec.MemoryGB,
 		"spot", j.spec.Spot, "image", j.spec.Image, "estimate_s", j.spec.EstimateS, "age_ms", h.Loop.WallNow()-j.readyAt)
-	for _, machineID := range core.SortedKeys(h.machines) {
-		for _, s := range h.machines[machineID].orderedSlots() {
-			if s.task.Job == id {
-				j.addAttempt(s)
-			}
-		}
+	for _, s := range h.attemptsWithoutJob[id] {
+		j.addAttempt(s)
 	}
+	delete(h.attemptsWithoutJob, id)
 	return j
 }
 
