Clear an attempt only once no copy of its start can be executed any more

What could be seen: a task ran on two machines, or again after its job was cancelled, if a copy of the response that had started it reached its machine after the clear of the attempt, within 4 s of the report that it answered, in the same session and under the same token.

Cause: a worker that has cleared an attempt no longer knows it, so a repeated start runs it again. The holder cleared an attempt as soon as its end was recorded; a task that is over within 4 s was cleared while the response with its start could still be executed.

Change: the holder waits with the clear until the worker would drop that response.

--- a/internal/block/answers.go
+++ b/internal/block/answers.go
@@ -155,6 +155,22 @@
 	return h.state == placing && m.inUse && m.fenced && !m.unreachable && m.state == live && !h.writePending(m, m.clearInUseVersion)
 }
 
+// startExpired reports whether no copy of the response that started an attempt can be executed any
+// more. A worker that has cleared an attempt no longer knows it: a late copy of the start would run
+// the task again, on a second machine if it was moved, or after its job was cancelled. The
+// worker drops what reaches it longer than responseTimeout after its report, which it sent before
+// our response, and a start that an earlier holder sent carries a lower token.
+func (s *slot) startExpired(now core.Time) bool {
+	return s.sentAt == 0 || now > s.sentAt.Add(core.WithDrift(responseTimeout)+timingMargin)
+}
+
+// endRecorded reports whether nothing is lost if the worker forgets an attempt that has ended: it did not
+// complete its task, or the completion is durable or of no use.
+func (h *Holder) endRecorded(s *slot) bool {
+	e := h.Mirror.Jobs[s.task.Job]
+	return s.exitCause != api.CauseDone || e == nil || e.Finished() || e.Done.Has(s.task.Index)
+}
+
 // commands returns the commands for a machine that has just reported, and updates the state of
 // the attempts concerned.
 func (h *Holder) commands(m *machine) []api.Command {
@@ -162,10 +178,9 @@
 	var kills, clears, runs []api.Command
 	for _, s := range m.orderedSlots() {
 		command := api.Command{Task: s.task.String(), Attempt: uint64(s.attempt)}
-		e := h.Mirror.Jobs[s.task.Job]
 		switch s.state {
 		case exited:
-			if s.exitCause != api.CauseDone || e == nil || e.Finished() || e.Done.Has(s.task.Index) {
+			if s.startExpired(now) && h.endRecorded(s) {
 				command.Verb = api.VerbClear
 				clears = append(clears, command)
 			}
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -373,6 +373,7 @@
 func (w *World) EndFaults() {
 	w.partitions = nil
 	w.ResetProb, w.DuplicateProb, w.LateReportProb, w.CancelAtEndProb = 0, 0, 0, 0
+	w.LateCopies.Active = false
 	w.Users.PollRateFactor, w.Users.BurstQueries = 0, false
 	w.Cloud.downUntil, w.Cloud.BootTimeFactor, w.Cloud.LateCallProb, w.Cloud.BootFailProb = 0, 0, 0, 0
 	w.State.endFaults()
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -194,6 +194,26 @@
 	w.After(3*time.Second, next)
 }
 
+// BriefLoad submits jobs for every team: arrays of tasks that run for about a second, arrays of
+// tasks that run longer and save their progress, and gangs.
+func (w *World) BriefLoad(jobsPerTeam int) {
+	for i, team := range w.Cfg.Teams {
+		for k := range jobsPerTeam {
+			j := api.Job{
+				ID: fmt.Sprintf("req-%06d", 1000*(i+1)+k), Class: "brief", Team: team.Name, Form: api.FormArray, Rank: api.RankStandard,
+				Tasks: 20, CPUs: 1, MemoryGB: 1, Image: "brief", ImageGB: 0.05, EstimateS: 1, Spot: true,
+			}
+			switch k % 10 {
+			case 1:
+				j.Tasks, j.EstimateS, j.CheckpointS, j.SaveS = 6, 40, 5, 1
+			case 2:
+				j.Form, j.Rank, j.Tasks, j.EstimateS = api.FormGang, api.RankHigh, 2, 20
+			}
+			w.Users.Submit(j)
+		}
+	}
+}
+
 // CancelSome cancels a random accepted job now and then until a time, at random intervals of 0.2 to
 // 2 times every.
 func (w *World) CancelSome(until SimTime, every time.Duration) {
--- a/internal/sim/tasks.go
+++ b/internal/sim/tasks.go
@@ -113,6 +113,7 @@
 		case api.VerbRun:
 			if t == nil {
 				m.w.Checker.StartCommanded(id, earliest)
+				m.checkRestarted(k)
 				m.start(k)
 			}
 		case api.VerbKill:
@@ -131,6 +132,7 @@
 		case api.VerbClear:
 			if t != nil && t.state == api.TaskExited {
 				delete(m.tasks, k)
+				m.noteCleared(k)
 			}
 		default:
 			m.w.Checker.fail("command with an unknown verb %q", o.Verb)
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -46,12 +46,16 @@
 	reclaimAt    SimTime         // when the cloud reclaims it; 0: no notice
 	images       map[string]bool // container images already fetched
 	tasks        map[taskKey]*task
+	cleared      map[taskKey]bool // attempts that it was told to clear
+	// startedBy and recentReports hold messages that LateCopies repeats.
+	startedBy     map[taskKey]commandCopy
+	recentReports []copiedReport
 }
 
 func newMachine(w *World, id, addr string, typ *api.MachineType, zone string, spot bool) *Machine {
 	return &Machine{
 		w: w, ID: id, addr: addr, typ: typ, zone: zone, spot: spot, rentedAt: w.now, clockRate: 1 + w.uniform(-0.0005, 0.0005),
-		images: map[string]bool{}, tasks: map[taskKey]*task{}, session: 1, controller: w.Rand.IntN(max(len(w.Hosts), 1)),
+		images: map[string]bool{}, tasks: map[taskKey]*task{}, cleared: map[taskKey]bool{}, startedBy: map[taskKey]commandCopy{}, session: 1, controller: w.Rand.IntN(max(len(w.Hosts), 1)),
 	}
 }
 
--- a/internal/sim/workerreport.go
+++ b/internal/sim/workerreport.go
@@ -8,6 +8,9 @@
 	"lichenstair/internal/core"
 )
 
+// responseTimeout is how long a worker waits for the response to a report.
+const responseTimeout = 4 * time.Second
+
 // report schedules the next report, within d but no sooner than half a second after the last
 // one. It does nothing while a report is in flight or, unless d is 0, if one is due as soon.
 func (m *Machine) report(d time.Duration) {
@@ -64,7 +67,9 @@
 		})
 		return
 	}
-	m.w.exchange(endpoint(m.addr), core.Request{Addr: m.w.Hosts[m.controller].addr, Method: "POST", Path: "/hello", Body: raw, Timeout: 4 * time.Second}, func(res core.Response) {
+	request := core.Request{Addr: m.w.Hosts[m.controller].addr, Method: "POST", Path: "/hello", Body: raw, Timeout: responseTimeout}
+	m.keepReport(request, session)
+	m.w.exchange(endpoint(m.addr), request, func(res core.Response) {
 		m.whenResponsive(func() {
 			if done {
 				return
@@ -84,7 +89,7 @@
 		m.controller = (m.controller + 1) % len(m.w.Hosts)
 		m.report(time.Second)
 	}
-	if float64(m.w.now-sent)*m.clockRate > float64(4*time.Second) {
+	if m.late(sent) {
 		tryNextController()
 		return
 	}
@@ -98,6 +103,7 @@
 		if a.Term >= m.term && session == m.session {
 			m.term = a.Term
 			m.lastAnswered = max(m.lastAnswered, sent)
+			m.keepStarts(commandCopy{a.Commands, a.Term, session, sent})
 			m.execute(a.Commands, sent)
 		}
 		m.scheduleNextReport()
@@ -138,6 +144,8 @@
 			m.term = d.Term
 			m.report(500 * time.Millisecond)
 		}
+		m.checkDirect(d.Commands)
+		m.keepStarts(commandCopy{d.Commands, d.Term, d.Session, 0})
 		m.execute(d.Commands, 0)
 		reply(newResponse(200, m.snapshot()))
 	})
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -81,6 +81,8 @@
 	// CancelAtEndProb is the probability that a user cancels a job at the moment its last task
 	// ends.
 	CancelAtEndProb float64
+	// LateCopies makes copies of messages arrive after the clear of the attempts that they started.
+	LateCopies LateCopies
 	// recorded holds the reports that are replayed to controllers later.
 	recorded recordedReports
 
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -21,6 +21,9 @@
 	Faults      time.Duration // how long faults are injected
 }
 
+// reservedInstance and the instances above it are left to tests that play a run of their own.
+const reservedInstance = sim.MaxInstances - 3
+
 // option is an environment variable that sets a field of Options.
 type option struct {
 	name        string
@@ -31,7 +34,7 @@
 var options = []option{
 	{"SOAK_SEEDS", 1, 10_000, func(o *Options, n int) { o.Seeds = n }},
 	{"SOAK_SEED", 0, 1_000_000_000, func(o *Options, n int) { o.FirstSeed = n }},
-	{"SOAK_PARALLEL", 1, sim.MaxInstances - 2, func(o *Options, n int) { o.Parallel = n }},
+	{"SOAK_PARALLEL", 1, reservedInstance, func(o *Options, n int) { o.Parallel = n }},
 	{"SOAK_CONTROLLERS", 3, 9, func(o *Options, n int) { o.Controllers = n }},
 	{"SOAK_MACHINES", 20, 400, func(o *Options, n int) { o.Machines = n }},
 	{"SOAK_FAULT_SECONDS", 5, 600, func(o *Options, n int) { o.Faults = time.Duration(n) * time.Second }},
