Put submissions off while the links of unfinished jobs would exceed a controller's memory

Cause: nothing related what is accepted to what every controller has to hold, from then on and after each start.

Change: once the links between unfinished jobs and their unfinished dependencies would take more than a quarter of ram_mb (24 bytes each), submissions with dependencies get 429, which users repeat; those with more than 32 dependencies at three quarters of that. Jobs without dependencies, repeats of accepted jobs and what is stored are not affected. The links are a metric.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -47,6 +47,8 @@
 	StateRevision prometheus.Gauge
 	// ProofAge is the time, in seconds, since the mirror was last confirmed fresh.
 	ProofAge prometheus.Gauge
+	// DependencyLinks is the number of links between unfinished jobs and their unfinished dependencies.
+	DependencyLinks prometheus.Gauge
 
 	// Requests measures, in seconds, how long requests took, by kind (poll, submission,
 	// cancellation, health, report) and outcome.
@@ -92,11 +94,12 @@
 		Stops:          counters("stops_total", "Attempts that were told to stop, by reason.", "reason"),
 		Releases:       counters("releases_total", "Attempts proven to be off their machines, by reason.", "reason"),
 
-		Violations:    counters("invariant_violations_total", "Violations of the controller's own invariants, by invariant.", "invariant"),
-		LeaderTerm:    gauge("leader_term", "Term under which the controller leads; 0: it does not."),
-		BlockTerm:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "block_term", Help: "Term under which the controller holds a block."}, []string{"block"}),
-		StateRevision: gauge("state_revision", "Revision of the state service that the controller has read."),
-		ProofAge:      gauge("state_proof_age_seconds", "How long ago what was read was last proven complete."),
+		Violations:      counters("invariant_violations_total", "Violations of the controller's own invariants, by invariant.", "invariant"),
+		LeaderTerm:      gauge("leader_term", "Term under which the controller leads; 0: it does not."),
+		BlockTerm:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "block_term", Help: "Term under which the controller holds a block."}, []string{"block"}),
+		StateRevision:   gauge("state_revision", "Revision of the state service that the controller has read."),
+		ProofAge:        gauge("state_proof_age_seconds", "How long ago what was read was last proven complete."),
+		DependencyLinks: gauge("dependency_links", "Links between unfinished jobs and their unfinished dependencies."),
 
 		Requests:           histograms("request_seconds", "Requests of users, workers and health checks, by kind and outcome.", "kind", "outcome"),
 		LoopWaits:          histograms("loop_wait_seconds", "Time that callbacks waited for the event loop, by queue.", "queue"),
@@ -110,7 +113,7 @@
 		Passes:             histogram("pass_seconds", "Duration of scheduling passes."),
 		Reloads:            histograms("state_reload_seconds", "Time to read all keys, by result.", "result"),
 	}
-	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.StartProofAges, m.Stops, m.Releases, m.Violations, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge,
+	m.registry.MustRegister(m.WorkerMessages, m.Discovered, m.Duplicates, m.Starts, m.StartProofAges, m.Stops, m.Releases, m.Violations, m.LeaderTerm, m.BlockTerm, m.StateRevision, m.ProofAge, m.DependencyLinks,
 		m.Requests, m.LoopWaits, m.LoopCallbacks, m.QueueDepth, m.StateWaits, m.ConfirmationStages, m.Confirmations, m.CancellationWaits, m.Watches, m.Reloads, m.Passes)
 	return m
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,7 @@
 	}
 	n.metrics.LeaderTerm.Set(float64(term))
 	n.metrics.StateRevision.Set(float64(n.mirror.Revision()))
+	n.metrics.DependencyLinks.Set(float64(n.mirror.Links()))
 	n.metrics.ProofAge.Set(n.mirror.Staleness().Seconds())
 	n.state.ReportQueues()
 }
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -69,6 +69,11 @@
 		})
 		return
 	}
+	if n.linkLimitReached(len(j.Dependencies)) {
+		n.log.Info("submission put off: too many dependencies between unfinished jobs", "job", id, "dependencies", len(j.Dependencies), "links", n.mirror.Links())
+		reply(Response{Status: 429, Body: api.Error{Error: "too many dependencies between unfinished jobs", Field: api.FieldDependencies}, RetryAfter: n.cfg.Operator.RetryAfter})
+		return
+	}
 	n.pruneTypes(&j)
 	raw, err := json.Marshal(state.Job{
 		Phase: state.JobAccepted, Tasks: j.Tasks, AcceptedAt: n.loop.WallNow(), Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB, Spec: &j,
@@ -89,6 +94,27 @@
 	n.commitSubmissions()
 }
 
+const (
+	// linkBytes is the memory that a link between two unfinished jobs takes, in bytes.
+	linkBytes = 24
+	// linkMemoryShare is the part of a controller's memory that such links may take.
+	linkMemoryShare = 0.25
+	// fewDependencies is the largest number of dependencies of a job that may use the last quarter of
+	// the links, so that one large pipeline does not keep all others out.
+	fewDependencies = 32
+)
+
+// linkLimitReached reports whether a job with so many dependencies has to wait until others are finished.
+// Every controller holds the links of all accepted jobs, and does so again after each restart: jobs
+// accepted beyond its memory would end it for good.
+func (n *Node) linkLimitReached(dependencies int) bool {
+	limit := int(linkMemoryShare * float64(n.cfg.Limits.MemoryBytes) / linkBytes)
+	if dependencies > fewDependencies {
+		limit -= limit / 4
+	}
+	return dependencies > 0 && n.mirror.Links()+dependencies > limit
+}
+
 // unlessAccepted replies with the status of a job that has been accepted, and calls then if
 // the mirror is confirmed not to show one: another node may just have accepted a job that
 // would be refused for good here.
--- a/internal/state/dependencies.go
+++ b/internal/state/dependencies.go
@@ -68,6 +68,9 @@
 	return e.node == nil || !slices.ContainsFunc(e.node.dependencies, (*dependencyNode).notStarted)
 }
 
+// Links returns the number of links between unfinished jobs and their unfinished dependencies.
+func (m *Mirror) Links() int { return m.links }
+
 // NoteRunning records which jobs are running and with how many tasks, as far as the caller knows.
 // ReadySoon takes them to have started, until the next call.
 func (m *Mirror) NoteRunning(tasks map[core.JobID]int) {
@@ -144,6 +147,7 @@
 			node.readyAt = max(node.readyAt, dependency.EndedAt)
 		default:
 			node.addDependency(m.nodeOf(core.JobID(name)))
+			m.links++
 		}
 	}
 	e.Spec.Dependencies = nil
@@ -167,13 +171,17 @@
 		return
 	}
 	dependents := node.dependents
-	node.drop()
+	m.drop(node)
 	if e.Cancelled() {
 		m.cancelWithDependents(dependents, t)
 		return
 	}
 	for _, dependent := range dependents {
-		if !dependent.dropped && dependent.dependencyDone(e.EndedAt) {
+		if dependent.dropped {
+			continue
+		}
+		m.links--
+		if dependent.dependencyDone(e.EndedAt) {
 			t.addJob(dependent.id)
 		}
 	}
@@ -203,8 +211,9 @@
 }
 
 // drop removes a finished job from the graph.
-func (n *dependencyNode) drop() {
+func (m *Mirror) drop(n *dependencyNode) {
 	n.dropped = true
+	m.links -= n.unfinished
 	for _, dependency := range n.dependencies {
 		if !dependency.dropped {
 			dependency.dependentFinished()
@@ -222,7 +231,7 @@
 		stack = markCancelled(stack, node.dependents)
 		node.entry.Spec, node.entry.Done = nil, core.IndexSet{}
 		t.addJob(node.id)
-		node.drop()
+		m.drop(node)
 	}
 }
 
--- a/internal/state/dependencies_test.go
+++ b/internal/state/dependencies_test.go
@@ -122,11 +122,18 @@
 // checkLinks checks that the links of all jobs agree with each other and with the jobs' states.
 func checkLinks(t *testing.T, m *Mirror) {
 	t.Helper()
+	links := 0
+	defer func() {
+		if m.Links() != links {
+			t.Fatalf("%d links counted, want %d", m.Links(), links)
+		}
+	}()
 	for id, e := range m.Jobs {
 		if e.node == nil {
 			continue
 		}
 		n := e.node
+		links += n.unfinished
 		unfinished, finished := 0, 0
 		for _, dependency := range n.dependencies {
 			if !dependency.done() {
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -49,6 +49,7 @@
 	CompletionBatches map[int]map[string]*CompletionBatch // by block number and key
 
 	awaited      map[core.JobID]*dependencyNode // dependencies whose records were not applied yet
+	links        int                            // between unfinished jobs and their unfinished dependencies
 	urgencyQueue []*dependencyNode              // jobs whose urgency was not passed on to their dependencies yet
 	running      []*dependencyNode              // those marked as running
 	inventories  map[int]*Inventory
