Block: periodic work sorts the jobs that it concerns, not all that wait

What could be seen: beside 10,000 jobs that wait for others a holder needed 12 ms for a tick, a pass and its hints; ticks, heartbeats and plans ask for parts of that up to seventeen times a second, at a tenth of a core.

Cause: the names of all jobs were collected and sorted for the completions to record, twice for each heartbeat and plan, and at a grant together with those of all finished jobs.

Change: the jobs that matter are collected first and only they are sorted.

--- a/internal/block/attempts.go
+++ b/internal/block/attempts.go
@@ -102,8 +102,8 @@
 
 // checkGangs stops the remaining members of gangs of which recovery found only a part.
 func (h *Holder) checkGangs() {
-	for _, id := range core.SortedKeys(h.jobs) {
-		h.checkGang(h.jobs[id])
+	for _, j := range h.jobsThat((*job).gang) {
+		h.checkGang(j)
 	}
 }
 
--- a/internal/block/bench_test.go
+++ b/internal/block/bench_test.go
@@ -74,18 +74,70 @@
 // The record of a job costs a holder no memory for each machine of its block: the names of all machines
 // were collected and sorted three times for each record.
 func TestJobRecordCostsDoNotGrowWithMachines(t *testing.T) {
-	bytes := func(machines int) uint64 {
-		change := jobChange(machines)
-		change()
-		var before, after runtime.MemStats
-		runtime.ReadMemStats(&before)
-		for range 100 {
-			change()
+	if few, many := allocatedBytes(jobChange(100)), allocatedBytes(jobChange(1600)); many > 2*few {
+		t.Fatalf("%d bytes allocated for the records of a job beside 1,600 machines, %d beside 100", many, few)
+	}
+}
+
+// allocatedBytes returns how many bytes f allocates each time, without the first one.
+func allocatedBytes(f func()) uint64 {
+	f()
+	const rounds = 100
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range rounds {
+		f()
+	}
+	runtime.ReadMemStats(&after)
+	return (after.TotalAlloc - before.TotalAlloc) / rounds
+}
+
+// Jobs that wait for others cost a holder no memory with each of its ticks and hints, of which there are
+// many a second: the names of all jobs were collected and sorted each time.
+func TestTicksDoNotCollectWaitingJobs(t *testing.T) {
+	periodic := func(jobs int) func() {
+		h := holderWithWaitingJobs(jobs)
+		return func() {
+			h.writeRecords()
+			h.RunningHints()
+			h.FailingJobs()
+			h.BlockHint()
 		}
-		runtime.ReadMemStats(&after)
-		return (after.TotalAlloc - before.TotalAlloc) / 100
 	}
-	if few, many := bytes(100), bytes(1600); many > 2*few {
-		t.Fatalf("%d bytes allocated for the records of a job beside 1,600 machines, %d beside 100", many, few)
+	if few, many := allocatedBytes(periodic(100)), allocatedBytes(periodic(10_000)); many > 2*few {
+		t.Fatalf("%d bytes allocated beside 10,000 waiting jobs, %d beside 100", many, few)
+	}
+}
+
+// BenchmarkWaitingJobs measures what a holder does periodically beside jobs that wait for others: its
+// tick, a pass and the hints for other controllers.
+func BenchmarkWaitingJobs(b *testing.B) {
+	for _, jobs := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			h := holderWithWaitingJobs(jobs)
+			for b.Loop() {
+				h.Tick()
+				h.runPass()
+				h.RunningHints()
+				h.FailingJobs()
+				h.BlockHint()
+			}
+		})
+	}
+}
+
+// holderWithWaitingJobs returns a holder of a block with ten machines, a running job and many jobs
+// that wait for others.
+func holderWithWaitingJobs(jobs int) *Holder {
+	h, _ := recoveringHolder(api.Job{ID: "req-000001", Team: "red", Form: api.FormArray, Tasks: 10, CPUs: 1}, 10)
+	h.state = placing
+	h.Mirror.Blocks[h.number] = state.Versioned[*state.Block]{Record: &state.Block{Number: h.number, Term: h.term, Teams: []string{"red"}}}
+	for i := range jobs {
+		id := core.JobID(fmt.Sprintf("req-%06d", 100+i))
+		spec := &api.Job{ID: string(id), Team: "red", Form: api.FormArray, Tasks: 10, CPUs: 1}
+		e := &state.JobEntry{Job: state.Job{Phase: state.JobAccepted, Tasks: 10, Team: "red", CPUs: 1, Spec: spec}}
+		h.Mirror.Jobs[id] = e
+		h.addJob(id, e).blocked = true
 	}
+	return h
 }
--- a/internal/block/completions.go
+++ b/internal/block/completions.go
@@ -31,9 +31,9 @@
 	size := 0
 	batch := state.CompletionBatch{Done: map[core.JobID]core.IndexSet{}}
 	limit := h.Config.StateLimits.ValueBytes - valueMargin
-	for _, id := range core.SortedKeys(h.jobs) {
-		j, e := h.jobs[id], h.Mirror.Jobs[id]
-		if e == nil || e.Finished() || j.pending.Empty() && j.done.Len() < j.spec.Tasks {
+	for _, j := range h.jobsThat((*job).hasUnrecordedEnd) {
+		id, e := j.id, h.Mirror.Jobs[j.id]
+		if e == nil || e.Finished() {
 			continue
 		}
 		if j.done.Len() >= j.spec.Tasks {
--- a/internal/block/hints.go
+++ b/internal/block/hints.go
@@ -29,9 +29,9 @@
 // RunningHints returns how many tasks of each job are running, as RunningCount counts them,
 // for display by other controllers.
 func (h *Holder) RunningHints() (out []peer.RunningHint) {
-	for _, id := range core.SortedKeys(h.jobs) {
-		if n := h.RunningCount(id); n > 0 {
-			out = append(out, peer.RunningHint{Job: id, Tasks: n})
+	for _, j := range h.jobsThat(func(j *job) bool { return !j.attempts.empty() }) {
+		if n := h.RunningCount(j.id); n > 0 {
+			out = append(out, peer.RunningHint{Job: j.id, Tasks: n})
 		}
 	}
 	return out
@@ -39,10 +39,8 @@
 
 // FailingJobs returns the jobs that have only failed so far and are tried one task at a time.
 func (h *Holder) FailingJobs() (out []core.JobID) {
-	for _, id := range core.SortedKeys(h.jobs) {
-		if h.jobs[id].failing() {
-			out = append(out, id)
-		}
+	for _, j := range h.jobsThat((*job).failing) {
+		out = append(out, j.id)
 	}
 	return out
 }
--- a/internal/block/holder.go
+++ b/internal/block/holder.go
@@ -4,7 +4,9 @@
 package block
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -106,7 +108,7 @@
 	h.Log = env.Log.With("block", rec.Number)
 	h.Log.Info("holder started", "term", rec.Term, "machines", h.Mirror.Inventory(rec.Number).Len(), "teams", rec.Teams, "revision", h.Mirror.Revision(), "proven_ago", h.Mirror.Staleness().String())
 	h.syncMachines(rec)
-	for _, id := range core.SortedKeys(h.Mirror.Jobs) {
+	for _, id := range h.Mirror.UnfinishedJobs() {
 		h.syncJob(id)
 	}
 	h.setState(recovering)
@@ -114,6 +116,18 @@
 	return h
 }
 
+// jobsThat returns the jobs for which a condition holds, ordered by their ids. Most jobs may be waiting for
+// others, so only those that are returned are sorted.
+func (h *Holder) jobsThat(holds func(*job) bool) (out []*job) {
+	for _, j := range h.jobs {
+		if holds(j) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
 // Term returns the term of the grant.
 func (h *Holder) Term() core.Term { return h.term }
 
--- a/internal/block/job.go
+++ b/internal/block/job.go
@@ -52,6 +52,9 @@
 // machine and completed nothing.
 func (j *job) failing() bool { return len(j.failedMachines) > 1 && j.done.Empty() }
 
+// hasUnrecordedEnd reports whether completions of tasks, or of the job, are to be made durable.
+func (j *job) hasUnrecordedEnd() bool { return !j.pending.Empty() || j.done.Len() >= j.spec.Tasks }
+
 // waitingTasks counts the tasks that are not done and not booked on any machine. It is 0 for a
 // job with unfinished dependencies, which keeps the job from starting and from taking a place
 // in the queue, a reservation or machines.
--- a/internal/state/mirror.go
+++ b/internal/state/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"lichenstair/api"
@@ -242,6 +243,17 @@
 	m.notifyWaiters()
 }
 
+// UnfinishedJobs returns the ids of the jobs that are neither done nor cancelled, in order.
+func (m *Mirror) UnfinishedJobs() (ids []core.JobID) {
+	for id, e := range m.Jobs {
+		if !e.Finished() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // TeamBlock returns the block to which a team is assigned.
 func (m *Mirror) TeamBlock(team string) (int, bool) {
 	for n, b := range m.Blocks {
