Soak: a failed start leaves no address in use; one way to fill an HTTP request

What was seen: if the address of a controller was in use, NewRealWorld returned an error but left its listeners open, so no later run of the instance could start.

Cause: one of two ways out did not close what was open.

Change: it does. The simulation's connection to real processes builds its requests with the functions of httpcall instead of a copy of them.

Measured: TestUsedAddressOfAControllerIsRefused failed before ("address already in use" on the second attempt).

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -86,12 +86,7 @@
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
-	req.SetRequestURI("http://" + r.Addr + r.Path)
-	req.Header.SetMethod(r.Method)
-	if r.Body != nil {
-		req.Header.SetContentType("application/json")
-		req.SetBody(r.Body)
-	}
+	Fill(req, r)
 	var h *fasthttp.HostClient
 	if svc != nil {
 		h = svc.client
@@ -102,5 +97,20 @@
 	if err := h.DoTimeout(req, res, r.Timeout); err != nil {
 		return core.Response{}
 	}
+	return ResponseOf(res)
+}
+
+// Fill sets the address, method, path and body of an HTTP request.
+func Fill(req *fasthttp.Request, r core.Request) {
+	req.SetRequestURI("http://" + r.Addr + r.Path)
+	req.Header.SetMethod(r.Method)
+	if r.Body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBody(r.Body)
+	}
+}
+
+// ResponseOf returns a copy of an HTTP response, which may be released afterwards.
+func ResponseOf(res *fasthttp.Response) core.Response {
 	return core.Response{Status: res.StatusCode(), Body: append([]byte{}, res.Body()...)}
 }
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -113,6 +113,9 @@
 // Name returns the host's name.
 func (h *Host) Name() core.Host { return h.name }
 
+// Addr returns the address at which the controller accepts requests.
+func (h *Host) Addr() string { return h.addr }
+
 // accepts reports whether the host accepts connections.
 func (h *Host) accepts() bool { return h.process != nil || h.real != nil }
 
--- a/internal/sim/realtime.go
+++ b/internal/sim/realtime.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lichenstair/internal/core"
+	"lichenstair/internal/httpcall"
 )
 
 // RealWorld connects a simulation on real time to controllers that run as processes of their own.
@@ -54,7 +55,8 @@
 )
 
 // NewRealWorld makes the controllers of a new world run as processes of a program, with settings
-// and logs in a directory. instance, below MaxInstances, tells runs of one process apart. It fails if the program is missing or an address is in use. Close ends
+// and logs in a directory. instance, below MaxInstances, tells runs of one process apart. It fails
+// if the program is missing or an address is in use, and then leaves nothing open. Close ends
 // everything that it started.
 func NewRealWorld(w *World, binary, dir string, instance int) (*RealWorld, error) {
 	info, err := os.Stat(binary)
@@ -82,6 +84,7 @@
 			}
 		}
 		if err := checkFree(h.addr); err != nil {
+			r.Close()
 			return nil, err
 		}
 	}
@@ -231,16 +234,12 @@
 		req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseRequest(req)
 		defer fasthttp.ReleaseResponse(res)
-		req.SetRequestURI("http://" + h.addr + request.Path)
-		req.Header.SetMethod(request.Method)
-		if request.Body != nil {
-			req.Header.SetContentType("application/json")
-			req.SetBody(request.Body)
-		}
+		request.Addr = h.addr
+		httpcall.Fill(req, request)
 		if client.DoTimeout(req, res, request.Timeout) != nil {
 			return // the caller's own time-out ends the request
 		}
-		answer := core.Response{Status: res.StatusCode(), Body: append([]byte{}, res.Body()...)}
+		answer := httpcall.ResponseOf(res)
 		r.post(func() { reply(answer) })
 	}()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -90,7 +91,8 @@
 	}
 }
 
-// A port that is in use fails at once and by its address.
+// A port that is in use fails at once and by its address. The failed run leaves nothing open: once the
+// port is free, the same addresses can be used.
 func TestUsedAddressIsRefused(t *testing.T) {
 	dir, program := t.TempDir(), "/bin/true"
 	first, err := holdAddresses(program, dir, sim.MaxInstances-1)
@@ -102,4 +104,32 @@
 	if err == nil || !strings.Contains(err.Error(), "address already in use") || !strings.Contains(err.Error(), "127.") {
 		t.Fatalf("got %v, want an error that names the address in use", err)
 	}
+	first.Close()
+	again, err := holdAddresses(program, dir, sim.MaxInstances-1)
+	if err != nil {
+		t.Fatalf("the addresses are still in use: %v", err)
+	}
+	again.Close()
+}
+
+// An address of a controller that is in use fails at once too, and the failed run leaves nothing open.
+func TestUsedAddressOfAControllerIsRefused(t *testing.T) {
+	dir, program := t.TempDir(), "/bin/true"
+	addr, err := controllerAddress(program, dir, sim.MaxInstances-1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	occupied, err := net.Listen("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := holdAddresses(program, dir, sim.MaxInstances-1); err == nil || !strings.Contains(err.Error(), "address of a controller") {
+		t.Fatalf("got %v, want an error about the address of a controller", err)
+	}
+	occupied.Close()
+	again, err := holdAddresses(program, dir, sim.MaxInstances-1)
+	if err != nil {
+		t.Fatalf("the addresses are still in use: %v", err)
+	}
+	again.Close()
 }
