--- a/internal/block/reasons.go
+++ b/internal/block/reasons.go
@@ -98,14 +98,14 @@
 }
 
 // noteStop counts and logs the first stop command for an attempt, when it is added to a response
-// to the machine.
-func (h *Holder) noteStop(s *slot, reason stopReason) {
+// to the machine, with the time that the attempt has to save, in seconds.
+func (h *Holder) noteStop(s *slot, reason stopReason, graceS float64) {
 	h.Metrics.Stops.WithLabelValues(string(reason)).Inc()
 	level := slog.LevelDebug
 	if reason == stopSuperseded || reason == stopGangBroken {
 		level = slog.LevelInfo
 	}
-	h.Log.Log(context.Background(), level, "stop command added to response", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "reason", reason, "grace_s", s.graceS)
+	h.Log.Log(context.Background(), level, "stop command added to response", "task", s.task.String(), "attempt", s.attempt, "machine", s.machine.id, "reason", reason, "grace_s", graceS)
 }
 
 // noteStart counts and logs a start command that is added to a response to the machine, with the
