Submissions that wait for their transaction count towards the limit of links

What could be seen: the limit looked at the jobs that are stored. A burst of large submissions, up to 200 in the queue of each controller, could go beyond it before the first of them was stored.

Change: the dependencies of queued submissions are added. The transaction in flight is not counted; it has at most 48 KiB.

Measured: TestQueuedSubmissionsCountAsLinks failed before (no 429).

--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -22,10 +22,10 @@
 	id       core.JobID
 	record   []byte    // as JSON
 	deadline core.Time // until when it is retried
-	// hasDependencies: the job has dependencies, and may have been cancelled with one of
-	// them before the submission is confirmed.
-	hasDependencies bool
-	reply           Reply
+	// dependencies is how many jobs it depends on. It may have been cancelled with one of them
+	// before the submission is confirmed.
+	dependencies int
+	reply        Reply
 }
 
 // unknownDependency returns a job that a submission depends on and that the mirror does not
@@ -90,7 +90,7 @@
 		reply(Response{Status: 429, Body: api.Error{Error: "too many submissions"}, RetryAfter: n.cfg.Operator.RetryAfter})
 		return
 	}
-	n.submissions = append(n.submissions, &submission{id, raw, n.loop.Now().Add(submitTimeout), len(j.Dependencies) > 0, reply})
+	n.submissions = append(n.submissions, &submission{id, raw, n.loop.Now().Add(submitTimeout), len(j.Dependencies), reply})
 	n.commitSubmissions()
 }
 
@@ -112,7 +112,16 @@
 	if dependencies > fewDependencies {
 		limit -= limit / 4
 	}
-	return dependencies > 0 && n.mirror.Links()+dependencies > limit
+	return dependencies > 0 && n.mirror.Links()+n.queuedLinks()+dependencies > limit
+}
+
+// queuedLinks returns the number of dependencies of the submissions that are not yet sent to the state
+// service.
+func (n *Node) queuedLinks() (links int) {
+	for _, s := range n.submissions {
+		links += s.dependencies
+	}
+	return links
 }
 
 // unlessAccepted replies with the status of a job that has been accepted, and calls then if
@@ -220,7 +229,7 @@
 		switch r.Outcome {
 		case state.Applied:
 			for _, c := range batch {
-				if !c.hasDependencies {
+				if c.dependencies == 0 {
 					c.reply(Response{Status: 201, Body: api.JobStatus{ID: string(c.id), Phase: api.PhaseQueued}})
 					continue
 				}
--- a/internal/node/submit_test.go
+++ b/internal/node/submit_test.go
@@ -79,3 +79,18 @@
 		}
 	}
 }
+
+// Submissions that wait for their transaction count as well: a burst of them could go far beyond the
+// limit before the first of them is stored.
+func TestQueuedSubmissionsCountAsLinks(t *testing.T) {
+	n, names := nodeWithLinks(3, 400)
+	n.committing = true
+	var answers []int
+	for i := range 3 {
+		n.Submit(submissionBody(t, fmt.Sprintf("req-30%d", i), names[:25]), func(r Response) { answers = append(answers, r.Status) })
+	}
+	n.Submit(submissionBody(t, "req-310", names[:60]), func(r Response) { answers = append(answers, r.Status) })
+	if len(answers) != 1 || answers[0] != 429 || len(n.submissions) != 3 {
+		t.Fatalf("%d queued with 315 of 400 links, answers %v: want 3 and 429 for one with 60 dependencies", len(n.submissions), answers)
+	}
+}
